--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Builds and passes all tests. Usage: scripts/test.sh [PRESET...]
+# Presets: debug (address and undefined-behaviour sanitizers), tsan, release.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ $# -gt 0 ] || set -- debug tsan
+for preset in "$@"; do
+  echo "== $preset"
+  cmake --preset "$preset" >/dev/null
+  cmake --build --preset "$preset" -- --quiet
+  ctest --test-dir "build/$preset" --output-on-failure
+done
--- /dev/null
+++ b/src/base/document.cpp
@@ -0,0 +1,167 @@
+#include "base/document.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+#include <utility>
+
+namespace peridotfall {
+
+namespace {
+
+constexpr std::size_t ExcerptLength = 40;
+
+const Json EmptyList = Json::array();
+const Json EmptyObject = Json::object();
+
+/// Rejects a repeated name: the library would keep the last one silently.
+struct DuplicateCheck {
+  std::vector<std::set<std::string>> Names;
+  std::string Repeated;
+
+  bool operator()(int, Json::parse_event_t event, Json &parsed) {
+    if (event == Json::parse_event_t::object_start)
+      Names.emplace_back();
+    else if (event == Json::parse_event_t::object_end)
+      Names.pop_back();
+    else if (event == Json::parse_event_t::key &&
+             !Names.back().insert(parsed.get<std::string>()).second)
+      Repeated = parsed.get<std::string>();
+    return true;
+  }
+};
+
+std::string unsignedRange(std::uint64_t least, std::uint64_t most) {
+  return fmt::format("a whole number from {} to {}", least, most);
+}
+
+} // namespace
+
+Parsed<Json> parseJson(const std::string &text) {
+  DuplicateCheck check;
+  Json it;
+  try {
+    it = Json::parse(text, std::ref(check));
+  } catch (const Json::exception &e) {
+    return Findings{{"/", "a JSON document", e.what()}};
+  }
+  if (!check.Repeated.empty())
+    return Findings{{"/", "each name once", check.Repeated + " twice"}};
+  return it;
+}
+
+std::string excerpt(const Json &value) {
+  auto it = value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return it.size() <= ExcerptLength ? it : it.substr(0, ExcerptLength) + "...";
+}
+
+ObjectReader::ObjectReader(const Json &object, std::string place,
+                           Findings &findings)
+    : Object(object.is_object() ? object : EmptyObject),
+      Place(std::move(place)), Report(findings) {
+  if (!object.is_object())
+    Report.push_back(
+        {Place.empty() ? "/" : Place, "an object", excerpt(object)});
+}
+
+std::string ObjectReader::placeOf(const std::string &field) const {
+  return Place + "/" + field;
+}
+
+void ObjectReader::report(const std::string &field, std::string expected,
+                          std::string found) {
+  Report.push_back({placeOf(field), std::move(expected), std::move(found)});
+}
+
+const Json *ObjectReader::find(const char *field, bool required,
+                               const char *expected) {
+  Known.emplace_back(field);
+  auto it = Object.find(field);
+  if (it != Object.end())
+    return &*it;
+  if (required)
+    report(field, expected, "nothing");
+  return nullptr;
+}
+
+std::string ObjectReader::text(const char *field) {
+  constexpr auto Expected = "a non-empty text";
+  const Json *it = find(field, true, Expected);
+  if (!it)
+    return {};
+  if (it->is_string() && !it->get_ref<const std::string &>().empty())
+    return it->get<std::string>();
+  report(field, Expected, excerpt(*it));
+  return {};
+}
+
+std::string ObjectReader::textOr(const char *field, std::string fallback) {
+  if (!Object.contains(field)) {
+    Known.emplace_back(field);
+    return fallback;
+  }
+  return text(field);
+}
+
+std::uint64_t ObjectReader::number(const char *field, std::uint64_t least,
+                                   std::uint64_t most) {
+  auto expected = unsignedRange(least, most);
+  const Json *it = find(field, true, expected.c_str());
+  if (!it)
+    return least;
+  if (it->is_number_unsigned()) {
+    auto n = it->get<std::uint64_t>();
+    if (n >= least && n <= most)
+      return n;
+  }
+  report(field, expected, excerpt(*it));
+  return least;
+}
+
+std::uint64_t ObjectReader::numberOr(const char *field, std::uint64_t least,
+                                     std::uint64_t most,
+                                     std::uint64_t fallback) {
+  if (!Object.contains(field)) {
+    Known.emplace_back(field);
+    return fallback;
+  }
+  return number(field, least, most);
+}
+
+bool ObjectReader::flagOr(const char *field, bool fallback) {
+  const Json *it = find(field, false, "");
+  if (!it)
+    return fallback;
+  if (it->is_boolean())
+    return it->get<bool>();
+  report(field, "true or false", excerpt(*it));
+  return fallback;
+}
+
+const Json &ObjectReader::list(const char *field) {
+  constexpr auto Expected = "a list";
+  const Json *it = find(field, true, Expected);
+  if (it && it->is_array())
+    return *it;
+  if (it)
+    report(field, Expected, excerpt(*it));
+  return EmptyList;
+}
+
+const Json &ObjectReader::object(const char *field) {
+  constexpr auto Expected = "an object";
+  const Json *it = find(field, true, Expected);
+  if (it && it->is_object())
+    return *it;
+  if (it)
+    report(field, Expected, excerpt(*it));
+  return EmptyObject;
+}
+
+void ObjectReader::finish() {
+  for (const auto &[field, value] : Object.items())
+    if (std::find(Known.begin(), Known.end(), field) == Known.end())
+      report(field, "no such field", excerpt(value));
+}
+
+} // namespace peridotfall
--- /dev/null
+++ b/src/base/encoding.h
@@ -0,0 +1,21 @@
+/// \file
+/// Text encodings and random identifiers.
+
+#ifndef PERIDOTFALL_BASE_ENCODING_H
+#define PERIDOTFALL_BASE_ENCODING_H
+
+#include <optional>
+#include <string>
+
+namespace peridotfall {
+
+/// RFC 4648 section 5, without padding.
+std::string encodeBase64Url(const std::string &bytes);
+std::optional<std::string> decodeBase64Url(const std::string &text);
+
+/// \param bytes of entropy; the text is twice as long.
+std::string randomHex(std::size_t bytes);
+
+} // namespace peridotfall
+
+#endif // PERIDOTFALL_BASE_ENCODING_H
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,173 @@
+#include "daemon/daemon.h"
+
+#include "daemon/caller_api.h"
+#include "messages/inner.h"
+#include "platform/http_platform.h"
+#include "target/http_target.h"
+#include "telemetry/events.h"
+
+#include <thread>
+#include <utility>
+
+namespace peridotfall {
+
+namespace {
+
+using telemetry::Event;
+using telemetry::field;
+
+constexpr int StatusOk = 200;
+constexpr int StatusBad = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+
+std::uint64_t startTime() {
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+Member selfOf(const DaemonOptions &options) {
+  auto it = options.Self;
+  it.Incarnation = startTime();
+  return it;
+}
+
+} // namespace
+
+Daemon::Daemon(DaemonOptions options)
+    : Options(std::move(options)), Loops(Options.Threads),
+      Apis([this](const std::string &address) {
+        return target::makeHttpTarget(Loops.next(), address);
+      }),
+      Peers(Loops, selfOf(Options), {}),
+      Local(
+          std::make_shared<Owner>(Time, Options.Self.Vm, Config, Apis, Views)),
+      Routes(
+          std::make_shared<Router>(Loops, Time, Config, Peers, Views, *Local)),
+      Probes(std::make_shared<Prober>(Loops.at(0), Time, Config, Peers, Apis,
+                                      Views, Options.ProbeInterval)),
+      Sync(std::make_shared<PlatformSync>(
+          Loops.at(0),
+          platform::makeHttpPlatform(Loops.at(0),
+                                     {.Address = Options.Platform}),
+          Config, Peers)) {
+  http::ServerOptions callers;
+  callers.Address = Options.ListenCallers;
+  Callers = std::make_shared<http::Server>(
+      Loops, callers, [this](http::Request request, http::Respond respond) {
+        serveCaller(std::move(request), respond);
+      });
+  http::ServerOptions inner;
+  inner.Address = Options.ListenInner;
+  inner.MaxStreams = limits::MaxInnerStreams;
+  inner.MaxBody = limits::MaxAnswerBody;
+  Inner = std::make_shared<http::Server>(
+      Loops, inner,
+      [this](const http::Request &request, const http::Respond &respond) {
+        serveInner(request, respond);
+      });
+}
+
+Daemon::~Daemon() { Loops.stop(); }
+
+Findings Daemon::start() {
+  Findings findings;
+  if (auto ec = Callers->start())
+    findings.push_back({"--listen", "an address that is free", ec.message()});
+  if (auto ec = Inner->start())
+    findings.push_back(
+        {"--listen_inner", "an address that is free", ec.message()});
+  if (!findings.empty())
+    return findings;
+  Sync->start();
+  Probes->start();
+  telemetry::log(Event::Started,
+                 {field("vm", Options.Self.Vm.Value),
+                  field("callers", callerPort()), field("inner", innerPort())});
+  return {};
+}
+
+bool Daemon::shutdown(std::chrono::milliseconds limit) {
+  constexpr std::chrono::milliseconds Step{10};
+  telemetry::log(Event::Stopping, {field("limit_ms", limit.count())});
+  Draining = true;
+  Callers->drain();
+  auto end = Time.now() + limit;
+  while ((Serving > 0 || Local->inFlight() > 0) && Time.now() < end)
+    std::this_thread::sleep_for(Step);
+  bool finished = Serving == 0 && Local->inFlight() == 0;
+  Probes->stop();
+  Sync->stop();
+  Inner->drain();
+  Callers->stop();
+  Inner->stop();
+  Peers.close();
+  telemetry::log(Event::Stopped, {field("finished", finished)});
+  return finished;
+}
+
+http::Response Daemon::readiness() const {
+  if (Draining)
+    return {StatusUnavailable, {}, "shutting down\n"};
+  if (!Config.get())
+    return {StatusUnavailable, {}, "no configuration in force yet\n"};
+  return {StatusOk, {}, "ready\n"};
+}
+
+void Daemon::serveCaller(http::Request request, const http::Respond &respond) {
+  if (request.Path == "/healthz")
+    respond({StatusOk, {}, "ok\n"});
+  else if (request.Path == "/readyz")
+    respond(readiness());
+  else
+    serveStatement(request, respond);
+}
+
+void Daemon::serveStatement(const http::Request &request,
+                            const http::Respond &respond) {
+  auto config = Config.get();
+  auto parsed = parseCallerRequest(request, config.get(), Options.Keys);
+  if (!parsed) {
+    respond(makeResponse(parsed.error()));
+    return;
+  }
+  ++Serving;
+  const auto &in = parsed.value();
+  auto entry = in.Session.Databases.find(in.Statement.Database);
+  RoutedRequest routed{in.Statement,
+                       entry == in.Session.Databases.end() ? SessionEntry{}
+                                                           : entry->second,
+                       request.Gone};
+  Routes->route(std::move(routed),
+                [this, in, respond](const StatementAnswer &answer) {
+                  respond(makeResponse(in, answer, Options.Keys));
+                  --Serving;
+                });
+}
+
+void Daemon::serveInner(const http::Request &request,
+                        const http::Respond &respond) {
+  if (request.Path == messages::PeerPath) {
+    auto config = Config.get();
+    messages::PeerInfo info{Peers.self(), config ? config->Revision : 0};
+    info.Self.Leaving = Draining;
+    respond({StatusOk, {}, messages::encode(info)});
+    return;
+  }
+  if (request.Path != messages::StatementPath) {
+    respond({StatusNotFound, {}, ""});
+    return;
+  }
+  auto decoded = messages::decodeStatementRequest(request.Body);
+  if (!decoded) {
+    respond({StatusBad, {}, ""});
+    return;
+  }
+  Local->execute(std::move(decoded.value()), request.Gone,
+                 [respond](const StatementAnswer &answer) {
+                   respond({StatusOk, {}, messages::encode(answer)});
+                 });
+}
+
+} // namespace peridotfall
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,67 @@
+/// \file
+/// The entry daemon: all its parts, put together.
+
+#ifndef PERIDOTFALL_DAEMON_DAEMON_H
+#define PERIDOTFALL_DAEMON_DAEMON_H
+
+#include "config/in_force.h"
+#include "daemon/fleet.h"
+#include "daemon/options.h"
+#include "daemon/owner.h"
+#include "daemon/platform_sync.h"
+#include "daemon/prober.h"
+#include "daemon/router.h"
+#include "daemon/targets.h"
+#include "daemon/views.h"
+#include "http/loops.h"
+#include "http/server.h"
+#include "peridotfall/clock.h"
+
+#include <atomic>
+#include <memory>
+
+namespace peridotfall {
+
+class Daemon {
+public:
+  explicit Daemon(DaemonOptions options);
+  ~Daemon();
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+
+  /// Listens and begins to work. \return what is wrong, if anything.
+  Findings start();
+  /// Ends in order: not ready at once, requests in flight finish.
+  /// \param limit longest wait. \return whether all finished in time.
+  bool shutdown(std::chrono::milliseconds limit);
+
+  std::uint16_t callerPort() const { return Callers->port(); }
+  std::uint16_t innerPort() const { return Inner->port(); }
+
+private:
+  void serveCaller(http::Request request, const http::Respond &respond);
+  void serveStatement(const http::Request &request,
+                      const http::Respond &respond);
+  void serveInner(const http::Request &request, const http::Respond &respond);
+  http::Response readiness() const;
+
+  const DaemonOptions Options;
+  SystemClock Time;
+  http::Loops Loops;
+  ConfigurationInForce Config;
+  GroupViews Views;
+  Targets Apis;
+  Fleet Peers;
+  std::shared_ptr<Owner> Local;
+  std::shared_ptr<Router> Routes;
+  std::shared_ptr<Prober> Probes;
+  std::shared_ptr<PlatformSync> Sync;
+  std::shared_ptr<http::Server> Callers;
+  std::shared_ptr<http::Server> Inner;
+  std::atomic<bool> Draining{false};
+  std::atomic<std::size_t> Serving{0};
+};
+
+} // namespace peridotfall
+
+#endif // PERIDOTFALL_DAEMON_DAEMON_H
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,109 @@
+// peridotfalld: the entry daemon.
+
+#include "daemon/daemon.h"
+#include "telemetry/events.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <string>
+
+DEFINE_string(vm, "", "name of this VM");
+DEFINE_string(domain, "", "failure domain of this VM");
+DEFINE_string(region, "", "region of this VM");
+DEFINE_string(listen, "127.0.0.1:8080", "address for callers");
+DEFINE_string(listen_inner, "127.0.0.1:8081", "address for other daemons");
+DEFINE_string(platform, "", "address of the platform's object API");
+DEFINE_string(token_keys, "",
+              "keys of session tokens, ID:SECRET,...; the first signs. "
+              "Better given as PERIDOTFALL_TOKEN_KEYS than on the command "
+              "line, which others can read");
+DEFINE_uint32(threads, 2, "event loops, one a thread");
+DEFINE_uint32(probe_ms, 200, "milliseconds between probes of a target");
+DEFINE_uint32(shutdown_ms, 10000, "longest wait for requests in flight");
+DEFINE_string(log_level, "info", "debug, info, warning or error");
+
+namespace {
+
+constexpr int ExitBadSettings = 2;
+constexpr int ExitUnfinished = 3;
+
+/// A flag that the command line leaves out is taken from the environment:
+/// --listen_inner from PERIDOTFALL_LISTEN_INNER.
+void readEnvironment(peridotfall::Findings &findings) {
+  std::vector<gflags::CommandLineFlagInfo> flags;
+  gflags::GetAllFlags(&flags);
+  for (const auto &it : flags) {
+    if (!it.is_default || it.filename.find("main.cpp") == std::string::npos)
+      continue;
+    std::string name = "PERIDOTFALL_";
+    for (unsigned char c : it.name)
+      name += static_cast<char>(std::toupper(c));
+    const char *value = std::getenv(name.c_str());
+    if (value && gflags::SetCommandLineOption(it.name.c_str(), value).empty())
+      findings.push_back({name, "a value of type " + it.type, value});
+  }
+}
+
+int badSettings(const peridotfall::Findings &findings) {
+  for (const auto &it : findings)
+    peridotfall::telemetry::log(
+        peridotfall::telemetry::Event::BadSetting,
+        {peridotfall::telemetry::field("place", it.Place),
+         peridotfall::telemetry::field("expected", it.Expected),
+         peridotfall::telemetry::field("found", it.Found)});
+  return ExitBadSettings;
+}
+
+peridotfall::DaemonSettings settings() {
+  peridotfall::DaemonSettings it;
+  it.Vm = FLAGS_vm;
+  it.Domain = FLAGS_domain;
+  it.Region = FLAGS_region;
+  it.ListenCallers = FLAGS_listen;
+  it.ListenInner = FLAGS_listen_inner;
+  it.Platform = FLAGS_platform;
+  it.TokenKeys = FLAGS_token_keys;
+  it.Threads = FLAGS_threads;
+  it.ProbeMs = FLAGS_probe_ms;
+  return it;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("entry daemon of peridotfall; each flag can be set "
+                          "as PERIDOTFALL_FLAG in the environment");
+  gflags::SetVersionString("0.1.0");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  peridotfall::Findings findings;
+  readEnvironment(findings);
+  auto level = peridotfall::telemetry::parseLevel(FLAGS_log_level);
+  if (!level)
+    findings.push_back(
+        {"--log_level", "debug, info, warning or error", FLAGS_log_level});
+  else
+    peridotfall::telemetry::setLevel(*level);
+  auto options = peridotfall::parseOptions(settings());
+  if (!options)
+    findings.insert(findings.end(), options.error().begin(),
+                    options.error().end());
+  if (!findings.empty())
+    return badSettings(findings);
+
+  asio::io_context main;
+  asio::signal_set signals(main, SIGINT, SIGTERM);
+  peridotfall::Daemon daemon(options.value());
+  findings = daemon.start();
+  if (!findings.empty())
+    return badSettings(findings);
+  std::cout << "callers on port " << daemon.callerPort() << ", inner on port "
+            << daemon.innerPort() << std::endl;
+  signals.async_wait([](std::error_code, int) {});
+  main.run();
+  return daemon.shutdown(std::chrono::milliseconds(FLAGS_shutdown_ms))
+             ? 0
+             : ExitUnfinished;
+}
--- /dev/null
+++ b/src/daemon/options.h
@@ -0,0 +1,50 @@
+/// \file
+/// Settings of the daemon, from flags and environment variables.
+
+#ifndef PERIDOTFALL_DAEMON_OPTIONS_H
+#define PERIDOTFALL_DAEMON_OPTIONS_H
+
+#include "peridotfall/membership.h"
+#include "peridotfall/result.h"
+#include "peridotfall/session_token.h"
+
+#include <chrono>
+#include <compare>
+#include <string>
+
+namespace peridotfall {
+
+/// Plain settings as texts and numbers, not yet checked.
+struct DaemonSettings {
+  std::string Vm;
+  std::string Domain;
+  std::string Region;
+  std::string ListenCallers;
+  std::string ListenInner;
+  std::string Platform;
+  std::string TokenKeys;
+  std::uint32_t Threads = 2;
+  std::uint32_t ProbeMs = 200;
+
+  auto operator<=>(const DaemonSettings &) const = default;
+};
+
+/// Checked settings; what the daemon starts with.
+struct DaemonOptions {
+  Member Self;
+  std::string ListenCallers = "127.0.0.1:0";
+  std::string ListenInner = "127.0.0.1:0";
+  std::string Platform;
+  TokenKeys Keys;
+  unsigned Threads = 2;
+  std::chrono::milliseconds ProbeInterval{200};
+
+  auto operator<=>(const DaemonOptions &) const = default;
+};
+
+/// \return the options, or all findings; a place is the flag's name.
+Parsed<DaemonOptions> parseOptions(const DaemonSettings &settings);
+
+} // namespace peridotfall
+
+#endif // PERIDOTFALL_DAEMON_OPTIONS_H
--- /dev/null
+++ b/src/daemon/router.h
@@ -0,0 +1,60 @@
+/// \file
+/// Routing at the entry: finds the target for a request, sends it to the
+/// target's owner, and goes on elsewhere where the answer allows it.
+
+#ifndef PERIDOTFALL_DAEMON_ROUTER_H
+#define PERIDOTFALL_DAEMON_ROUTER_H
+
+#include "config/in_force.h"
+#include "daemon/fleet.h"
+#include "daemon/owner.h"
+#include "daemon/views.h"
+#include "peridotfall/session_token.h"
+
+#include <atomic>
+#include <memory>
+
+namespace peridotfall {
+
+/// A request with what its caller's session knows.
+struct RoutedRequest {
+  StatementRequest Request;
+  SessionEntry Session;
+  GoneFlag Gone;
+};
+
+class Router : public std::enable_shared_from_this<Router> {
+public:
+  Router(http::Loops &loops, const Clock &clock,
+         const ConfigurationInForce &config, Fleet &fleet, GroupViews &views,
+         Owner &owner);
+
+  /// \param done called once, on any thread.
+  void route(RoutedRequest request, OnAnswer done);
+
+private:
+  struct Operation;
+  using OperationPtr = std::shared_ptr<Operation>;
+
+  void attempt(const OperationPtr &op);
+  void send(const OperationPtr &op, const TargetConfig &target,
+            StatementRequest request);
+  void sendRemote(const OperationPtr &op, const Member &owner,
+                  const StatementRequest &request);
+  void answered(const OperationPtr &op, StatementAnswer answer);
+  void tryAgain(const OperationPtr &op, const StatementAnswer &answer);
+  void routeTransaction(const OperationPtr &op);
+  Duration timeLeft(const Operation &op) const;
+
+  http::Loops &Loops;
+  const Clock &Time;
+  const ConfigurationInForce &Config;
+  Fleet &Peers;
+  GroupViews &Views;
+  Owner &Local;
+  std::atomic<std::uint64_t> LastRequest;
+};
+
+} // namespace peridotfall
+
+#endif // PERIDOTFALL_DAEMON_ROUTER_H
--- /dev/null
+++ b/src/daemon/views.cpp
@@ -0,0 +1,51 @@
+#include "daemon/views.h"
+
+namespace peridotfall {
+
+GroupViews::Shard &GroupViews::shardOf(const DatabaseName &database) {
+  return Shards[std::hash<DatabaseName>{}(database) % Count];
+}
+
+const GroupViews::Shard &
+GroupViews::shardOf(const DatabaseName &database) const {
+  return Shards[std::hash<DatabaseName>{}(database) % Count];
+}
+
+GroupView GroupViews::get(const DatabaseName &database) const {
+  const auto &shard = shardOf(database);
+  std::lock_guard guard(shard.Lock);
+  auto it = shard.Groups.find(database);
+  return it == shard.Groups.end() ? GroupView{} : it->second;
+}
+
+void GroupViews::learnPrimary(const DatabaseName &database, Term term,
+                              const TargetName &primary) {
+  auto &shard = shardOf(database);
+  std::lock_guard guard(shard.Lock);
+  auto &group = shard.Groups[database];
+  if (term < group.InTerm || primary.empty())
+    return;
+  group.InTerm = term;
+  group.Primary = primary;
+}
+
+bool GroupViews::learnStatus(const DatabaseName &database,
+                             const TargetName &target, const TargetView &view) {
+  auto &shard = shardOf(database);
+  std::lock_guard guard(shard.Lock);
+  auto &group = shard.Groups[database];
+  auto &it = group.Targets[target];
+  it.Reachable = view.Reachable;
+  if (!view.Reachable)
+    return false;
+  it = view;
+  bool leads = view.Last.IsPrimary && view.Last.CurrentTerm >= group.InTerm;
+  if (!leads)
+    return false;
+  bool changed = group.Primary != target;
+  group.InTerm = view.Last.CurrentTerm;
+  group.Primary = target;
+  return changed;
+}
+
+} // namespace peridotfall
--- /dev/null
+++ b/src/http/channel.cpp
@@ -0,0 +1,316 @@
+#include "http/channel.h"
+
+#include "http/server.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/dispatch.hpp>
+#include <asio/post.hpp>
+#include <charconv>
+#include <mutex>
+#include <set>
+#include <utility>
+
+namespace peridotfall::http {
+
+/// The channels of one loop. A call back often holds what holds its channel;
+/// when the loop ends with calls in flight, dropping them breaks that circle.
+class ChannelRegistry : public asio::execution_context::service {
+public:
+  using key_type = ChannelRegistry;      // NOLINT: a name that Asio asks for.
+  static asio::execution_context::id id; // NOLINT: likewise.
+
+  explicit ChannelRegistry(asio::execution_context &context)
+      : service(context) {}
+
+  void add(Channel *it) {
+    std::lock_guard guard(Lock);
+    All.insert(it);
+  }
+  void remove(Channel *it) {
+    std::lock_guard guard(Lock);
+    All.erase(it);
+  }
+
+private:
+  void shutdown() override {
+    std::vector<std::shared_ptr<Channel>> open;
+    {
+      std::lock_guard guard(Lock);
+      for (auto *it : All)
+        if (auto channel = it->weak_from_this().lock())
+          open.push_back(std::move(channel));
+    }
+    for (const auto &it : open)
+      it->abandon();
+  }
+
+  std::mutex Lock;
+  std::set<Channel *> All;
+};
+
+asio::execution_context::id ChannelRegistry::id;
+
+namespace {
+
+Channel &from(void *self) { return *static_cast<Channel *>(self); }
+
+constexpr std::uint32_t AnswerWindow = 4 << 20;
+
+} // namespace
+
+Channel::Channel(asio::io_context &loop, std::string address,
+                 ChannelOptions options)
+    : Loop(loop), Address(std::move(address)), Options(std::move(options)),
+      ConnectTimer(loop) {
+  asio::use_service<ChannelRegistry>(loop).add(this);
+}
+
+Channel::~Channel() { asio::use_service<ChannelRegistry>(Loop).remove(this); }
+
+void Channel::abandon() {
+  Dead = true;
+  auto waiting = std::exchange(Waiting, {});
+  auto running = std::exchange(Running, {});
+}
+
+void Channel::call(Request request, std::chrono::milliseconds limit,
+                   OnResult done) {
+  auto it = std::make_shared<Call>(Loop);
+  it->In = std::move(request);
+  it->Done = std::move(done);
+  asio::dispatch(
+      Loop, [self = shared_from_this(), it, limit] { self->begin(it, limit); });
+}
+
+void Channel::begin(const CallPtr &call, std::chrono::milliseconds limit) {
+  if (Closed || Dead) {
+    call->Done(TransportError{Failure::NotSent, "connection closed"});
+    return;
+  }
+  call->Timer.expires_after(limit);
+  call->Timer.async_wait([weak = weak_from_this(), call](std::error_code ec) {
+    auto self = weak.lock();
+    if (!ec && self)
+      self->expire(call);
+  });
+  if (Io && Io->isOpen() && !Connecting) {
+    submit(call);
+    return;
+  }
+  Waiting.push_back(call);
+  if (!Connecting)
+    connect();
+}
+
+void Channel::connect() {
+  Connecting = true;
+  auto endpoint = parseEndpoint(Address);
+  if (!endpoint) {
+    connected(std::make_error_code(std::errc::invalid_argument));
+    return;
+  }
+  Io = std::make_shared<Pump>(
+      ByteStream(asio::ip::tcp::socket(Loop), Options.Tls),
+      [weak = weak_from_this()] {
+        if (auto self = weak.lock())
+          self->lost();
+      });
+  ConnectTimer.expires_after(Options.ConnectLimit);
+  ConnectTimer.async_wait(
+      [weak = weak_from_this(), io = Io](std::error_code ec) {
+        if (!ec && weak.lock())
+          io->stream().close();
+      });
+  Io->stream().socket().async_connect(
+      *endpoint, [self = shared_from_this()](std::error_code ec) {
+        if (ec) {
+          self->connected(ec);
+          return;
+        }
+        std::error_code ignored;
+        self->Io->stream().socket().set_option(asio::ip::tcp::no_delay(true),
+                                               ignored);
+        self->Io->stream().handshake(
+            false, [self](std::error_code e) { self->connected(e); });
+      });
+}
+
+void Channel::connected(std::error_code ec) {
+  Connecting = false;
+  ConnectTimer.cancel();
+  if (Closed)
+    ec = asio::error::operation_aborted;
+  if (ec) {
+    if (!Options.Reconnect)
+      Dead = true;
+    failWaiting("cannot connect to " + Address + ": " + ec.message());
+    return;
+  }
+  opened();
+}
+
+void Channel::opened() {
+  // Keeps this channel alive while the connection is open.
+  Io->start(makeSession(), shared_from_this());
+  auto waiting = std::exchange(Waiting, {});
+  for (const auto &it : waiting)
+    submit(it);
+}
+
+SessionPtr Channel::makeSession() {
+  nghttp2_session_callbacks *callbacks = nullptr;
+  nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_header_callback(callbacks, onHeader);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, onData);
+  nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
+                                                         onStreamClosed);
+  nghttp2_session *session = nullptr;
+  nghttp2_session_client_new(&session, callbacks, this);
+  nghttp2_session_callbacks_del(callbacks);
+  std::array<nghttp2_settings_entry, 2> settings{{
+      {NGHTTP2_SETTINGS_ENABLE_PUSH, 0},
+      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, AnswerWindow},
+  }};
+  nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings.data(),
+                          settings.size());
+  nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0,
+                                        AnswerWindow);
+  return SessionPtr(session);
+}
+
+void Channel::submit(const CallPtr &call) {
+  Headers fields = {{":method", call->In.Method},
+                    {":scheme", Options.Tls ? "https" : "http"},
+                    {":authority", Address},
+                    {":path", call->In.Path}};
+  fields.insert(fields.end(), call->In.Fields.begin(), call->In.Fields.end());
+  auto values = toNameValues(fields);
+  call->Body.Bytes = std::move(call->In.Body);
+  auto body = provide(call->Body);
+  auto stream = nghttp2_submit_request(
+      Io->session(), nullptr, values.data(), values.size(),
+      call->Body.Bytes.empty() ? nullptr : &body, nullptr);
+  if (stream < 0) {
+    call->Timer.cancel();
+    call->Done(TransportError{Failure::NotSent, nghttp2_strerror(stream)});
+    return;
+  }
+  call->Stream = stream;
+  Running[stream] = call;
+  Io->flush();
+}
+
+void Channel::expire(const CallPtr &call) {
+  if (call->Stream == 0) {
+    auto it = std::find(Waiting.begin(), Waiting.end(), call);
+    if (it == Waiting.end())
+      return;
+    Waiting.erase(it);
+    call->Done(TransportError{Failure::NotSent, "no connection in time"});
+    return;
+  }
+  if (Running.erase(call->Stream) == 0)
+    return;
+  if (Io->session()) {
+    nghttp2_submit_rst_stream(Io->session(), NGHTTP2_FLAG_NONE, call->Stream,
+                              NGHTTP2_CANCEL);
+    // The session still reads the body until the stream is closed.
+    asio::post(Loop, [keep = call] {});
+    Io->flush();
+  }
+  call->Done(TransportError{Failure::MaybeRun, "no answer in time"});
+}
+
+int Channel::onHeader(nghttp2_session *, const nghttp2_frame *frame,
+                      const std::uint8_t *name, std::size_t nameLength,
+                      const std::uint8_t *value, std::size_t valueLength,
+                      std::uint8_t, void *self) {
+  auto &running = from(self).Running;
+  auto it = running.find(frame->hd.stream_id);
+  if (it == running.end())
+    return 0;
+  std::string field(reinterpret_cast<const char *>(name), nameLength);
+  std::string text(reinterpret_cast<const char *>(value), valueLength);
+  auto &out = it->second->Out;
+  if (field == ":status")
+    std::from_chars(text.data(), text.data() + text.size(), out.Status);
+  else if (out.Fields.size() < limits::MaxHeaderFields)
+    out.Fields.push_back({std::move(field), std::move(text)});
+  return 0;
+}
+
+int Channel::onData(nghttp2_session *session, std::uint8_t, std::int32_t stream,
+                    const std::uint8_t *data, std::size_t length, void *self) {
+  auto &channel = from(self);
+  auto it = channel.Running.find(stream);
+  if (it == channel.Running.end())
+    return 0;
+  auto &body = it->second->Out.Body;
+  if (body.size() + length > channel.Options.MaxBody) {
+    it->second->TooLarge = true;
+    nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream,
+                              NGHTTP2_CANCEL);
+    return 0;
+  }
+  body.append(reinterpret_cast<const char *>(data), length);
+  return 0;
+}
+
+int Channel::onStreamClosed(nghttp2_session *, std::int32_t stream,
+                            std::uint32_t code, void *self) {
+  auto &channel = from(self);
+  auto it = channel.Running.find(stream);
+  if (it == channel.Running.end())
+    return 0;
+  auto call = it->second;
+  channel.Running.erase(it);
+  call->Timer.cancel();
+  // The call back must not run inside the session: it may call again.
+  asio::post(channel.Loop, [call, code] {
+    if (code == NGHTTP2_NO_ERROR && !call->TooLarge)
+      call->Done(std::move(call->Out));
+    else if (code == NGHTTP2_REFUSED_STREAM)
+      call->Done(TransportError{Failure::NotSent, "refused by the other side"});
+    else
+      call->Done(TransportError{Failure::MaybeRun,
+                                call->TooLarge ? "answer too large"
+                                               : nghttp2_http2_strerror(code)});
+  });
+  return 0;
+}
+
+void Channel::failWaiting(const std::string &why) {
+  auto waiting = std::exchange(Waiting, {});
+  for (const auto &it : waiting) {
+    it->Timer.cancel();
+    it->Done(TransportError{Failure::NotSent, why});
+  }
+}
+
+/// Bytes of these calls may have left, so their outcome is unknown.
+void Channel::lost() {
+  if (!Options.Reconnect)
+    Dead = true;
+  auto running = std::exchange(Running, {});
+  for (const auto &[stream, it] : running) {
+    it->Timer.cancel();
+    asio::post(Loop, [call = it] {
+      call->Done(TransportError{Failure::MaybeRun, "connection lost"});
+    });
+  }
+}
+
+void Channel::close() {
+  asio::dispatch(Loop, [self = shared_from_this()] {
+    self->Closed = true;
+    self->Dead = true;
+    if (self->Io && self->Io->isOpen())
+      self->Io->close();
+    else if (self->Io)
+      self->Io->stream().close();
+    self->failWaiting("connection closed");
+  });
+}
+
+} // namespace peridotfall::http
--- /dev/null
+++ b/src/http/channel.h
@@ -0,0 +1,106 @@
+/// \file
+/// An HTTP/2 client connection to one address.
+
+#ifndef PERIDOTFALL_HTTP_CHANNEL_H
+#define PERIDOTFALL_HTTP_CHANNEL_H
+
+#include "http/message.h"
+#include "http/pump.h"
+#include "peridotfall/limits.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <boost/outcome/outcome.hpp>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace peridotfall::http {
+
+using CallResult =
+    BOOST_OUTCOME_V2_NAMESPACE::checked<Response, TransportError>;
+using OnResult = std::function<void(CallResult)>;
+
+struct ChannelOptions {
+  TlsContext Tls;
+  std::string TlsName; ///< Checked against the certificate; empty: not.
+  /// Connects again for the next call after a loss. Off where the connection
+  /// itself carries state, as a transaction's does.
+  bool Reconnect = true;
+  std::chrono::milliseconds ConnectLimit = limits::ConnectLimit;
+  std::size_t MaxBody = limits::MaxAnswerBody;
+};
+
+class Channel : public std::enable_shared_from_this<Channel> {
+public:
+  Channel(asio::io_context &loop, std::string address, ChannelOptions options);
+
+  ~Channel();
+  Channel(const Channel &) = delete;
+  Channel &operator=(const Channel &) = delete;
+
+  /// From any thread. The call back runs on the channel's loop, exactly once.
+  /// \param limit longest wait, connecting included.
+  void call(Request request, std::chrono::milliseconds limit, OnResult done);
+  /// From any thread. Calls in flight fail.
+  void close();
+  /// From any thread: whether the connection was lost and is not made again.
+  bool isDead() const { return Dead.load(); }
+  const std::string &address() const { return Address; }
+  asio::io_context &loop() { return Loop; }
+
+private:
+  friend class ChannelRegistry;
+
+  struct Call {
+    explicit Call(asio::io_context &loop) : Timer(loop) {}
+
+    Request In;
+    Response Out;
+    OnResult Done;
+    BodySource Body;
+    asio::steady_timer Timer;
+    std::int32_t Stream = 0;
+    bool TooLarge = false;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  static int onHeader(nghttp2_session *, const nghttp2_frame *,
+                      const std::uint8_t *name, std::size_t nameLength,
+                      const std::uint8_t *value, std::size_t valueLength,
+                      std::uint8_t flags, void *self);
+  static int onData(nghttp2_session *, std::uint8_t flags, std::int32_t stream,
+                    const std::uint8_t *data, std::size_t length, void *self);
+  static int onStreamClosed(nghttp2_session *, std::int32_t stream,
+                            std::uint32_t code, void *self);
+
+  void begin(const CallPtr &call, std::chrono::milliseconds limit);
+  void connect();
+  void connected(std::error_code ec);
+  void opened();
+  SessionPtr makeSession();
+  void submit(const CallPtr &call);
+  void expire(const CallPtr &call);
+  void failWaiting(const std::string &why);
+  void lost();
+  /// Drops all calls without an answer: the loop has ended.
+  void abandon();
+
+  asio::io_context &Loop;
+  std::string Address;
+  ChannelOptions Options;
+  std::shared_ptr<Pump> Io;
+  asio::steady_timer ConnectTimer;
+  bool Connecting = false;
+  bool Closed = false;
+  std::atomic<bool> Dead{false};
+  std::deque<CallPtr> Waiting;
+  std::map<std::int32_t, CallPtr> Running;
+};
+
+} // namespace peridotfall::http
+
+#endif // PERIDOTFALL_HTTP_CHANNEL_H
--- /dev/null
+++ b/src/http/loops.cpp
@@ -0,0 +1,33 @@
+#include "http/loops.h"
+
+#include <algorithm>
+
+namespace peridotfall::http {
+
+Loops::Loops(unsigned threads) {
+  for (unsigned n = 0; n < std::max(threads, 1U); ++n) {
+    Contexts.push_back(std::make_unique<Context>(1));
+    Guards.emplace_back(Contexts.back()->get_executor());
+  }
+  for (auto &it : Contexts)
+    Threads.emplace_back([loop = it.get()] { loop->run(); });
+}
+
+Loops::~Loops() {
+  stop();
+  Guards.clear();
+  for (auto &it : Contexts)
+    it->shutdown();
+}
+
+asio::io_context &Loops::next() { return *Contexts[Turn++ % Contexts.size()]; }
+
+void Loops::stop() {
+  for (auto &it : Contexts)
+    it->stop();
+  for (auto &it : Threads)
+    if (it.joinable())
+      it.join();
+}
+
+} // namespace peridotfall::http
--- /dev/null
+++ b/src/http/message.h
@@ -0,0 +1,65 @@
+/// \file
+/// Requests and responses, whole in memory.
+
+#ifndef PERIDOTFALL_HTTP_MESSAGE_H
+#define PERIDOTFALL_HTTP_MESSAGE_H
+
+#include "peridotfall/names.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotfall::http {
+
+struct Header {
+  std::string Name; ///< Lower case.
+  std::string Value;
+
+  auto operator<=>(const Header &) const = default;
+};
+
+using Headers = std::vector<Header>;
+
+/// \return the first value, or an empty view.
+std::string_view findHeader(const Headers &headers, std::string_view name);
+
+struct Request {
+  std::string Method;
+  std::string Path;
+  Headers Fields;
+  std::string Body;
+  ConnectionHandle Connection;
+  std::string Peer; ///< Address of the other side.
+  /// Set once the caller has gone: its work is dropped before it starts.
+  std::shared_ptr<std::atomic<bool>> Gone;
+};
+
+struct Response {
+  int Status = 200;
+  Headers Fields;
+  std::string Body;
+};
+
+/// Sends the response; once, from any thread.
+using Respond = std::function<void(Response)>;
+using Handler = std::function<void(Request, Respond)>;
+
+/// How a request without a response ended.
+enum class Failure {
+  NotSent,  ///< The other side has not begun, and will not.
+  MaybeRun, ///< Bytes may have left: the outcome is unknown.
+};
+
+struct TransportError {
+  Failure Kind = Failure::NotSent;
+  std::string Message;
+};
+
+} // namespace peridotfall::http
+
+#endif // PERIDOTFALL_HTTP_MESSAGE_H
--- /dev/null
+++ b/src/messages/inner.cpp
@@ -0,0 +1,201 @@
+#include "messages/inner.h"
+
+#include <chrono>
+#include <type_traits>
+
+namespace peridotfall::messages {
+
+namespace {
+
+using std::chrono::microseconds;
+
+std::uint64_t toMicros(Duration it) {
+  auto n = std::chrono::duration_cast<microseconds>(it).count();
+  return n < 0 ? 0 : static_cast<std::uint64_t>(n);
+}
+
+Duration fromMicros(std::uint64_t n) {
+  // Past this a sum with the clock could overflow; no wait is that long.
+  constexpr std::uint64_t Longest = 365ULL * 86'400 * 1'000'000;
+  return microseconds(std::min(n, Longest));
+}
+
+void put(inner::Position *out, const Position &it) {
+  out->set_term(it.InTerm);
+  out->set_index(it.Index);
+}
+
+Position take(const inner::Position &it) { return {it.term(), it.index()}; }
+
+void put(inner::Value *out, const Value &it) {
+  std::visit(
+      [&](const auto &v) {
+        using T = std::decay_t<decltype(v)>;
+        if constexpr (std::is_same_v<T, std::int64_t>)
+          out->set_integer(v);
+        else if constexpr (std::is_same_v<T, double>)
+          out->set_real(v);
+        else if constexpr (std::is_same_v<T, std::string>)
+          out->set_text(v);
+        else if constexpr (std::is_same_v<T, Blob>)
+          out->set_blob(v.Bytes);
+      },
+      it);
+}
+
+Value take(const inner::Value &it) {
+  switch (it.kind_case()) {
+  case inner::Value::kInteger:
+    return std::int64_t{it.integer()};
+  case inner::Value::kReal:
+    return it.real();
+  case inner::Value::kText:
+    return it.text();
+  case inner::Value::kBlob:
+    return Blob{it.blob()};
+  case inner::Value::KIND_NOT_SET:
+    break;
+  }
+  return Null{};
+}
+
+void put(inner::Row *out, const Row &row) {
+  for (const auto &it : row)
+    put(out->add_values(), it);
+}
+
+Row take(const inner::Row &row) {
+  Row out;
+  out.reserve(static_cast<std::size_t>(row.values_size()));
+  for (const auto &it : row.values())
+    out.push_back(take(it));
+  return out;
+}
+
+Error malformed() {
+  return {ErrorCode::Invalid, "inner message: not of this protocol"};
+}
+
+} // namespace
+
+std::string encode(const StatementRequest &it) {
+  inner::StatementRequest out;
+  out.set_id(it.Id.Value);
+  out.set_verb(static_cast<std::uint32_t>(it.What));
+  out.set_database(it.Database.Value);
+  out.set_target(it.Target.Value);
+  out.set_caller(it.Caller.Value);
+  out.set_kind(it.Kind.Value);
+  out.set_access(static_cast<std::uint32_t>(it.Mode));
+  out.set_term(it.InTerm);
+  put(out.mutable_not_before(), it.NotBefore);
+  out.set_max_age_us(toMicros(it.MaxAge));
+  out.set_sql(it.Sql);
+  put(out.mutable_params(), it.Params);
+  out.set_key(it.Key);
+  out.set_repeatable(it.Repeatable);
+  out.set_transaction(it.Transaction);
+  out.set_budget_us(toMicros(it.Budget));
+  out.set_traceparent(it.Traceparent);
+  return out.SerializeAsString();
+}
+
+Result<StatementRequest> decodeStatementRequest(const std::string &bytes) {
+  inner::StatementRequest in;
+  if (!in.ParseFromString(bytes) ||
+      in.verb() > static_cast<std::uint32_t>(Verb::Rollback) ||
+      in.access() > static_cast<std::uint32_t>(Access::StaleRead))
+    return malformed();
+  StatementRequest it;
+  it.Id = {in.id()};
+  it.What = static_cast<Verb>(in.verb());
+  it.Database = DatabaseName(in.database());
+  it.Target = TargetName(in.target());
+  it.Caller = CallerName(in.caller());
+  it.Kind = KindName(in.kind());
+  it.Mode = static_cast<Access>(in.access());
+  it.InTerm = in.term();
+  it.NotBefore = take(in.not_before());
+  it.MaxAge = fromMicros(in.max_age_us());
+  it.Sql = in.sql();
+  it.Params = take(in.params());
+  it.Key = in.key();
+  it.Repeatable = in.repeatable();
+  it.Transaction = in.transaction();
+  it.Budget = fromMicros(in.budget_us());
+  it.Traceparent = in.traceparent();
+  return it;
+}
+
+std::string encode(const StatementAnswer &it) {
+  inner::StatementAnswer out;
+  out.set_id(it.Id.Value);
+  out.set_outcome(static_cast<std::uint32_t>(it.Effect));
+  out.set_code(static_cast<std::uint32_t>(it.Code));
+  out.set_detail(it.Detail);
+  for (const auto &column : it.Columns)
+    out.add_columns(column);
+  for (const auto &row : it.Rows)
+    put(out.add_rows(), row);
+  out.set_changes(it.Changes);
+  put(out.mutable_at(), it.At);
+  out.set_served_by(it.ServedBy.Value);
+  out.set_primary(it.Primary.Value);
+  out.set_age_us(toMicros(it.Age));
+  out.set_replayed(it.Replayed);
+  out.set_transaction(it.Transaction);
+  out.set_has_retry_after(it.RetryAfter.has_value());
+  out.set_retry_after_us(toMicros(it.RetryAfter.value_or(Duration{})));
+  return out.SerializeAsString();
+}
+
+Result<StatementAnswer> decodeStatementAnswer(const std::string &bytes) {
+  inner::StatementAnswer in;
+  if (!in.ParseFromString(bytes) ||
+      in.outcome() > static_cast<std::uint32_t>(Outcome::Unknown) ||
+      in.code() > static_cast<std::uint32_t>(AnswerCode::Busy))
+    return malformed();
+  StatementAnswer it;
+  it.Id = {in.id()};
+  it.Effect = static_cast<Outcome>(in.outcome());
+  it.Code = static_cast<AnswerCode>(in.code());
+  it.Detail = in.detail();
+  it.Columns.assign(in.columns().begin(), in.columns().end());
+  for (const auto &row : in.rows())
+    it.Rows.push_back(take(row));
+  it.Changes = in.changes();
+  it.At = take(in.at());
+  it.ServedBy = TargetName(in.served_by());
+  it.Primary = TargetName(in.primary());
+  it.Age = fromMicros(in.age_us());
+  it.Replayed = in.replayed();
+  it.Transaction = in.transaction();
+  if (in.has_retry_after())
+    it.RetryAfter = fromMicros(in.retry_after_us());
+  return it;
+}
+
+std::string encode(const PeerInfo &it) {
+  inner::PeerState out;
+  out.set_vm(it.Self.Vm.Value);
+  out.set_domain(it.Self.Domain.Value);
+  out.set_region(it.Self.Region.Value);
+  out.set_address(it.Self.InnerAddress);
+  out.set_incarnation(it.Self.Incarnation);
+  out.set_leaving(it.Self.Leaving);
+  out.set_revision(it.Revision);
+  return out.SerializeAsString();
+}
+
+Result<PeerInfo> decodePeerInfo(const std::string &bytes) {
+  inner::PeerState in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  PeerInfo it;
+  it.Self = {VmName(in.vm()), DomainName(in.domain()), RegionName(in.region()),
+             in.address(),    in.incarnation(),        in.leaving()};
+  it.Revision = in.revision();
+  return it;
+}
+
+} // namespace peridotfall::messages
--- /dev/null
+++ b/src/target/http_target.cpp
@@ -0,0 +1,148 @@
+#include "target/http_target.h"
+
+#include "target/wire.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotfall::target {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusConflict = 409;
+constexpr std::chrono::milliseconds ControlLimit{500};
+constexpr std::chrono::milliseconds ConnectWait{2'000};
+
+using ChannelPtr = std::shared_ptr<http::Channel>;
+
+http::Request post(const char *path, const Json &body) {
+  http::Request it;
+  it.Method = "POST";
+  it.Path = path;
+  it.Body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return it;
+}
+
+Result<Status> readStatus(const http::CallResult &result) {
+  if (!result)
+    return Error{result.error().Kind == http::Failure::NotSent
+                     ? ErrorCode::Unavailable
+                     : ErrorCode::Unknown,
+                 "target: " + result.error().Message};
+  if (result.value().Status == StatusConflict)
+    return Error{ErrorCode::Conflict, "target: has accepted a higher term"};
+  auto json = parseJson(result.value().Body);
+  if (result.value().Status == StatusOk && json)
+    if (auto it = statusFromJson(json.value()))
+      return *it;
+  return Error{ErrorCode::Unknown, "target: answer malformed"};
+}
+
+void callControl(const ChannelPtr &channel, const char *path, const Json &body,
+                 std::chrono::milliseconds limit, OnStatus done) {
+  channel->call(post(path, body), limit,
+                [done = std::move(done)](const http::CallResult &it) {
+                  done(readStatus(it));
+                });
+}
+
+StatementAnswer readAnswer(const StatementRequest &request,
+                           const http::CallResult &result) {
+  if (!result) {
+    const auto &error = result.error();
+    if (error.Kind == http::Failure::NotSent)
+      return notRun(request, AnswerCode::Unavailable,
+                    "target: " + error.Message);
+    return unknownOutcome(request, AnswerCode::ConnectionLost,
+                          "target: " + error.Message);
+  }
+  auto json = parseJson(result.value().Body);
+  if (result.value().Status == StatusOk && json) {
+    auto answer = answerFromJson(json.value());
+    // An answer to another request, late or crossed, must never be passed on
+    // as this one's: the caller would read somebody else's rows.
+    if (answer && answer->Id == request.Id)
+      return *answer;
+  }
+  return unknownOutcome(request, AnswerCode::ConnectionLost,
+                        "target: answer is not this request's");
+}
+
+ConnectionPtr makeConnection(const ChannelPtr &channel) {
+  Connection it;
+  it.Execute = [channel](const StatementRequest &request,
+                         std::chrono::milliseconds limit, OnAnswer done) {
+    channel->call(
+        post(ExecutePath, toJson(request)), limit,
+        [request, done = std::move(done)](const http::CallResult &result) {
+          done(readAnswer(request, result));
+        });
+  };
+  it.Close = [channel] { channel->close(); };
+  it.IsOpen = [channel] { return !channel->isDead(); };
+  return std::make_shared<const Connection>(std::move(it));
+}
+
+void connect(asio::io_context &loop, const std::string &address,
+             OnConnection done) {
+  http::ChannelOptions options;
+  // A transaction lives and dies with its connection.
+  options.Reconnect = false;
+  auto channel = std::make_shared<http::Channel>(loop, address, options);
+  channel->call(
+      post(ConnectPath, Json::object()), ConnectWait,
+      [channel, done = std::move(done)](const http::CallResult &result) {
+        if (result && result.value().Status == StatusOk) {
+          done(makeConnection(channel));
+          return;
+        }
+        channel->close();
+        done(Error{ErrorCode::Unavailable,
+                   result ? "target: refuses a connection"
+                          : "target: " + result.error().Message});
+      });
+}
+
+Control makeControl(const ChannelPtr &channel) {
+  Control it;
+  it.GetStatus = [channel](OnStatus done) {
+    callControl(channel, StatusPath, Json::object(), ControlLimit,
+                std::move(done));
+  };
+  it.AwaitPosition = [channel](Term term, Position position,
+                               std::chrono::milliseconds wait, OnStatus done) {
+    callControl(channel, AwaitPath,
+                {{"term", term},
+                 {"position", toJson(position)},
+                 {"waitMs", wait.count()}},
+                wait + ControlLimit, std::move(done));
+  };
+  it.Fence = [channel](Term term, OnStatus done) {
+    callControl(channel, FencePath, {{"term", term}}, ControlLimit,
+                std::move(done));
+  };
+  it.Promote = [channel](Term term, OnStatus done) {
+    callControl(channel, PromotePath, {{"term", term}}, ControlLimit,
+                std::move(done));
+  };
+  it.Follow = [channel](Term term, const std::string &address, OnStatus done) {
+    callControl(channel, FollowPath, {{"term", term}, {"address", address}},
+                ControlLimit, std::move(done));
+  };
+  return it;
+}
+
+} // namespace
+
+Api makeHttpTarget(asio::io_context &loop, const std::string &address) {
+  Api api;
+  api.Calls = makeControl(
+      std::make_shared<http::Channel>(loop, address, http::ChannelOptions{}));
+  api.Connect = [&loop, address](OnConnection done) {
+    connect(loop, address, std::move(done));
+  };
+  return api;
+}
+
+} // namespace peridotfall::target
--- /dev/null
+++ b/src/target/http_target.h
@@ -0,0 +1,20 @@
+/// \file
+/// A target over HTTP/2 and JSON. Each scarce connection is a TCP connection
+/// of its own; control calls share one more.
+
+#ifndef PERIDOTFALL_TARGET_HTTP_TARGET_H
+#define PERIDOTFALL_TARGET_HTTP_TARGET_H
+
+#include "http/channel.h"
+#include "target/target.h"
+
+#include <asio/io_context.hpp>
+#include <string>
+
+namespace peridotfall::target {
+
+Api makeHttpTarget(asio::io_context &loop, const std::string &address);
+
+} // namespace peridotfall::target
+
+#endif // PERIDOTFALL_TARGET_HTTP_TARGET_H
--- /dev/null
+++ b/src/telemetry/events.cpp
@@ -0,0 +1,95 @@
+#include "telemetry/events.h"
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <chrono>
+#include <cstdio>
+#include <fmt/chrono.h>
+
+namespace peridotfall::telemetry {
+
+namespace {
+
+std::atomic<Level> LeastLevel{Level::Info};
+
+constexpr std::string_view LevelNames[] = {"debug", "info", "warning", "error"};
+
+std::string quoted(const std::string &value) {
+  if (!value.empty() &&
+      value.find_first_of(" \"=\n\r\t\\") == std::string::npos)
+    return value;
+  std::string out = "\"";
+  for (char c : value) {
+    if (c == '\n' || c == '\r')
+      out += ' ';
+    else {
+      if (c == '"' || c == '\\')
+        out += '\\';
+      out += c;
+    }
+  }
+  return out + "\"";
+}
+
+} // namespace
+
+const std::vector<EventInfo> &allEvents() {
+  static const std::vector<EventInfo> All = {
+#define PERIDOTFALL_EVENT(id, number, severity, name, meaning, advice)         \
+  {number, Level::severity, name, meaning, advice},
+#include "telemetry/events.def"
+#undef PERIDOTFALL_EVENT
+  };
+  return All;
+}
+
+const EventInfo &infoOf(Event event) {
+  const auto &all = allEvents();
+  return *std::find_if(all.begin(), all.end(), [&](const EventInfo &it) {
+    return it.Number == static_cast<int>(event);
+  });
+}
+
+std::optional<EventInfo> findEvent(std::string_view name) {
+  if (name.substr(0, 2) == "PF")
+    name.remove_prefix(2);
+  int n = 0;
+  auto [end, ec] = std::from_chars(name.data(), name.data() + name.size(), n);
+  if (ec != std::errc() || end != name.data() + name.size())
+    return std::nullopt;
+  for (const auto &it : allEvents())
+    if (it.Number == n)
+      return it;
+  return std::nullopt;
+}
+
+void setLevel(Level least) { LeastLevel = least; }
+
+std::optional<Level> parseLevel(std::string_view text) {
+  for (auto it : {Level::Debug, Level::Info, Level::Warning, Level::Error})
+    if (LevelNames[static_cast<int>(it)] == text)
+      return it;
+  return std::nullopt;
+}
+
+void log(Event event, std::initializer_list<Field> fields) {
+  const auto &info = infoOf(event);
+  if (info.Severity < LeastLevel.load())
+    return;
+  auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  auto millis = now.time_since_epoch().count() % 1000;
+  auto line =
+      fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event=PF{} msg={}",
+                  fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                  millis, LevelNames[static_cast<int>(info.Severity)],
+                  info.Number, quoted(std::string(info.Name)));
+  for (const auto &it : fields)
+    line += fmt::format(" {}={}", it.Name, quoted(it.Value));
+  line += '\n';
+  // One call, so that lines of several threads do not mix.
+  std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+} // namespace peridotfall::telemetry
--- /dev/null
+++ b/src/telemetry/events.h
@@ -0,0 +1,59 @@
+/// \file
+/// Numbered events, written as key=value lines to standard error.
+/// docs/EVENTS.md and `peridotfall explain` are made from this list.
+
+#ifndef PERIDOTFALL_TELEMETRY_EVENTS_H
+#define PERIDOTFALL_TELEMETRY_EVENTS_H
+
+#include <fmt/format.h>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace peridotfall::telemetry {
+
+enum class Level { Debug, Info, Warning, Error };
+
+struct EventInfo {
+  int Number;
+  Level Severity;
+  std::string_view Name;    ///< A few words, as in the log.
+  std::string_view Meaning; ///< What happened, for an operator.
+  std::string_view Advice;  ///< What to do; empty: nothing.
+};
+
+/// One constant an event, named in events.def.
+enum class Event : int {
+#define PERIDOTFALL_EVENT(id, number, severity, name, meaning, advice)         \
+  id = (number),
+#include "telemetry/events.def"
+#undef PERIDOTFALL_EVENT
+};
+
+const std::vector<EventInfo> &allEvents();
+const EventInfo &infoOf(Event event);
+/// \param name "PF1001" or "1001". \return nothing where there is no such.
+std::optional<EventInfo> findEvent(std::string_view name);
+
+/// Events below this level are not written.
+void setLevel(Level least);
+std::optional<Level> parseLevel(std::string_view text);
+
+struct Field {
+  std::string_view Name;
+  std::string Value;
+};
+
+template <class T> Field field(std::string_view name, const T &value) {
+  return {name, fmt::format("{}", value)};
+}
+
+/// Writes one line, whole, from any thread.
+void log(Event event, std::initializer_list<Field> fields);
+
+} // namespace peridotfall::telemetry
+
+#endif // PERIDOTFALL_TELEMETRY_EVENTS_H
--- /dev/null
+++ b/tests/standin/target_log.cpp
@@ -0,0 +1,261 @@
+// Terms, fencing and log shipping of the stand-in target.
+
+#include "standin/platform.h"
+#include "standin/target.h"
+#include "target/wire.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotfall::standin {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusConflict = 409;
+constexpr std::chrono::milliseconds PullWait{200};
+constexpr std::chrono::milliseconds PullLimit{400};
+constexpr std::chrono::milliseconds PullRetry{20};
+constexpr std::size_t MostRecordsShipped = 1'000;
+
+Json toJson(const Record &record) {
+  Json statements = Json::array();
+  for (const auto &it : record.Statements)
+    statements.push_back(
+        {{"sql", it.Sql}, {"params", target::toJson(it.Params)}});
+  return {{"at", target::toJson(record.At)}, {"statements", statements}};
+}
+
+Record recordFromJson(const Json &json) {
+  Record out;
+  out.At = target::positionFromJson(json.at("at"));
+  for (const auto &it : json.at("statements")) {
+    LoggedStatement statement{it.at("sql"), {}};
+    for (const auto &value : it.at("params"))
+      statement.Params.push_back(target::valueFromJson(value).value_or(Null{}));
+    out.Statements.push_back(std::move(statement));
+  }
+  return out;
+}
+
+} // namespace
+
+Position Target::last() const {
+  return Log.empty() ? Position{} : Log.back().At;
+}
+
+target::Status Target::status() const {
+  target::Status it;
+  it.CurrentTerm = CurrentTerm;
+  it.IsPrimary = IsPrimary;
+  it.Last = last();
+  it.Applied = Applied == 0 ? Position{} : Log[Applied - 1].At;
+  it.Following = IsPrimary || !Upstream ? "" : Upstream->address();
+  it.Leaving = Leaving;
+  if (!IsPrimary)
+    it.Age = std::chrono::steady_clock::now() - CaughtUp;
+  return it;
+}
+
+/// What a lower term began must not go on: its transactions end, its log is
+/// no longer copied, and whoever waits for it is answered.
+void Target::acceptTerm(Term term) {
+  CurrentTerm = term;
+  IsPrimary = false;
+  ++Generation;
+  if (Upstream)
+    Upstream->close();
+  Upstream.reset();
+  dropTransactions();
+  wakeWaiters();
+}
+
+http::Response Target::fence(Term term) {
+  if (term < CurrentTerm)
+    return jsonResponse(StatusConflict, target::toJson(status()));
+  if (term > CurrentTerm)
+    acceptTerm(term);
+  return jsonResponse(StatusOk, target::toJson(status()));
+}
+
+http::Response Target::promote(Term term) {
+  if (term != CurrentTerm)
+    return jsonResponse(StatusConflict, target::toJson(status()));
+  if (!IsPrimary) {
+    ++Generation;
+    applyUpTo(Log.size());
+    IsPrimary = true;
+    append({{term, last().Index + 1}, {}});
+  }
+  return jsonResponse(StatusOk, target::toJson(status()));
+}
+
+http::Response Target::follow(Term term, const std::string &address) {
+  if (term < CurrentTerm || (term == CurrentTerm && IsPrimary))
+    return jsonResponse(StatusConflict, target::toJson(status()));
+  bool already = Upstream && Upstream->address() == address;
+  if (term > CurrentTerm || !already) {
+    acceptTerm(term);
+    Upstream = std::make_shared<http::Channel>(Pool.at(0), address,
+                                               http::ChannelOptions{});
+    Received = last();
+    pull();
+  }
+  return jsonResponse(StatusOk, target::toJson(status()));
+}
+
+void Target::await(const Json &body, const http::Respond &respond) {
+  AwaitWaiter it{body.at("term"), target::positionFromJson(body.at("position")),
+                 respond};
+  std::chrono::milliseconds wait(body.at("waitMs").get<int>());
+  AwaitWaiters.push_back(it);
+  wakeWaiters();
+  // Answering twice does no harm: the second answer is dropped.
+  later(wait, [self = shared_from_this(), respond] {
+    respond(jsonResponse(StatusOk, target::toJson(self->status())));
+  });
+}
+
+void Target::wakeWaiters() {
+  auto reached = [&](const AwaitWaiter &it) {
+    return CurrentTerm > it.InTerm ||
+           (last().InTerm == it.InTerm && last() >= it.At);
+  };
+  auto response = jsonResponse(StatusOk, target::toJson(status()));
+  for (const auto &it : AwaitWaiters)
+    if (reached(it))
+      it.Respond(response);
+  std::erase_if(AwaitWaiters, reached);
+  auto readers = std::exchange(LogWaiters, {});
+  for (const auto &it : readers) {
+    if (IsPrimary && it.After == last())
+      LogWaiters.push_back(it);
+    else
+      it.Respond(logResponse(it.After));
+  }
+}
+
+void Target::append(Record record) {
+  Log.push_back(std::move(record));
+  Applied = Log.size();
+  wakeWaiters();
+}
+
+void Target::serveLog(const Json &body, const http::Respond &respond) {
+  auto after = target::positionFromJson(body.at("after"));
+  Term term = body.at("term");
+  if (term != CurrentTerm || !IsPrimary) {
+    respond(jsonResponse(StatusConflict, target::toJson(status())));
+    return;
+  }
+  bool known = after.Index <= Log.size() &&
+               (after.Index == 0 || Log[after.Index - 1].At == after);
+  if (known && after == last()) {
+    LogWaiters.push_back({after, respond});
+    later(PullWait, [self = shared_from_this(), after, respond] {
+      respond(self->logResponse(after));
+    });
+    return;
+  }
+  respond(logResponse(after));
+}
+
+http::Response Target::logResponse(Position after) const {
+  if (!IsPrimary)
+    return jsonResponse(StatusConflict, target::toJson(status()));
+  bool known = after.Index <= Log.size() &&
+               (after.Index == 0 || Log[after.Index - 1].At == after);
+  Json records = Json::array();
+  if (known) {
+    auto end =
+        std::min<std::size_t>(Log.size(), after.Index + MostRecordsShipped);
+    for (auto n = after.Index; n < end; ++n)
+      records.push_back(toJson(Log[n]));
+  }
+  return jsonResponse(StatusOk, {{"known", known},
+                                 {"records", records},
+                                 {"last", target::toJson(last())}});
+}
+
+void Target::pull() {
+  http::Request request;
+  request.Method = "POST";
+  request.Path = "/log";
+  request.Body =
+      Json{{"term", CurrentTerm}, {"after", target::toJson(Received)}}.dump();
+  Upstream->call(
+      std::move(request), PullLimit,
+      [weak = weak_from_this(), generation = Generation,
+       asked = std::chrono::steady_clock::now()](const http::CallResult &it) {
+        if (auto self = weak.lock())
+          self->pulled(generation, asked, it);
+      });
+}
+
+void Target::pulled(std::uint64_t generation, TimePoint asked,
+                    const http::CallResult &result) {
+  if (generation != Generation)
+    return;
+  auto again = [self = shared_from_this(), generation] {
+    if (generation == self->Generation)
+      self->pull();
+  };
+  auto json =
+      result ? parseJson(result.value().Body) : Parsed<Json>(Findings{});
+  if (!result || result.value().Status != StatusOk || !json || Cut) {
+    later(PullRetry, again);
+    return;
+  }
+  if (!json.value().at("known").get<bool>()) {
+    // The primary does not have our last record: it was never confirmed.
+    dropLast();
+    Received = last();
+    again();
+    return;
+  }
+  std::vector<Record> records;
+  for (const auto &it : json.value().at("records"))
+    records.push_back(recordFromJson(it));
+  bool whole =
+      records.empty() ||
+      records.back().At == target::positionFromJson(json.value().at("last"));
+  if (!records.empty())
+    Received = records.back().At;
+  later(Options.ShipLag, [self = shared_from_this(), generation, records, whole,
+                          asked] {
+    if (generation != self->Generation)
+      return;
+    self->receive(records);
+    auto upTo = self->Log.size();
+    self->later(self->Options.ApplyLag, [self, generation, upTo, whole, asked] {
+      if (generation != self->Generation)
+        return;
+      self->applyUpTo(upTo);
+      if (whole)
+        self->CaughtUp = std::max(self->CaughtUp, asked);
+    });
+  });
+  again();
+}
+
+void Target::receive(const std::vector<Record> &records) {
+  Log.insert(Log.end(), records.begin(), records.end());
+  wakeWaiters();
+}
+
+void Target::applyUpTo(std::uint64_t index) {
+  for (; Applied < index; ++Applied)
+    Store.apply(Log[Applied]);
+}
+
+void Target::dropLast() {
+  if (Log.empty())
+    return;
+  Log.pop_back();
+  if (Applied > Log.size()) {
+    Applied = Log.size();
+    Store.rebuild(Log);
+  }
+}
+
+} // namespace peridotfall::standin
