--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -35,12 +35,12 @@
 
 } // namespace
 
-Daemon::Daemon(DaemonOptions options)
+Daemon::Daemon(DaemonOptions options, const DaemonTls &tls)
     : Options(std::move(options)), Loops(Options.Threads),
       Apis([this](const std::string &address) {
         return target::makeHttpTarget(Loops.next(), address);
       }),
-      Peers(Loops, selfOf(Options), {}),
+      Peers(Loops, selfOf(Options), {.Tls = tls.InnerClient}),
       Local(
           std::make_shared<Owner>(Time, Options.Self.Vm, Config, Apis, Views)),
       Routes(
@@ -54,12 +54,14 @@
           Config, Peers)) {
   http::ServerOptions callers;
   callers.Address = Options.ListenCallers;
+  callers.Tls = tls.Callers;
   Callers = std::make_shared<http::Server>(
       Loops, callers, [this](http::Request request, http::Respond respond) {
         serveCaller(std::move(request), respond);
       });
   http::ServerOptions inner;
   inner.Address = Options.ListenInner;
+  inner.Tls = tls.InnerServer;
   inner.MaxStreams = limits::MaxInnerStreams;
   inner.MaxBody = limits::MaxAnswerBody;
   Inner = std::make_shared<http::Server>(
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -24,7 +24,7 @@
 
 class Daemon {
 public:
-  explicit Daemon(DaemonOptions options);
+  explicit Daemon(DaemonOptions options, const DaemonTls &tls = {});
   ~Daemon();
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -20,6 +20,13 @@
               "keys of session tokens, ID:SECRET,...; the first signs. "
               "Better given as PERIDOTFALL_TOKEN_KEYS than on the command "
               "line, which others can read");
+DEFINE_string(tls_cert, "", "certificate towards callers, PEM");
+DEFINE_string(tls_key, "", "its key, PEM");
+DEFINE_string(inner_cert, "", "certificate between daemons, PEM");
+DEFINE_string(inner_key, "", "its key, PEM");
+DEFINE_string(inner_ca, "", "authority of all daemons' certificates, PEM");
+DEFINE_bool(plain_text, false,
+            "listen without TLS on an address that is not loopback");
 DEFINE_uint32(threads, 2, "event loops, one a thread");
 DEFINE_uint32(probe_ms, 200, "milliseconds between probes of a target");
 DEFINE_uint32(shutdown_ms, 10000, "longest wait for requests in flight");
@@ -66,6 +73,9 @@
   it.ListenInner = FLAGS_listen_inner;
   it.Platform = FLAGS_platform;
   it.TokenKeys = FLAGS_token_keys;
+  it.CallerTls = {FLAGS_tls_cert, FLAGS_tls_key, ""};
+  it.InnerTls = {FLAGS_inner_cert, FLAGS_inner_key, FLAGS_inner_ca};
+  it.PlainText = FLAGS_plain_text;
   it.Threads = FLAGS_threads;
   it.ProbeMs = FLAGS_probe_ms;
   return it;
@@ -92,10 +102,13 @@
                     options.error().end());
   if (!findings.empty())
     return badSettings(findings);
+  auto tls = peridotfall::loadTls(options.value());
+  if (!tls)
+    return badSettings(tls.error());
 
   asio::io_context main;
   asio::signal_set signals(main, SIGINT, SIGTERM);
-  peridotfall::Daemon daemon(options.value());
+  peridotfall::Daemon daemon(options.value(), tls.value());
   findings = daemon.start();
   if (!findings.empty())
     return badSettings(findings);
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -34,6 +34,35 @@
                         std::to_string(value)});
 }
 
+/// A certificate goes with its key, and between daemons with the authority
+/// that signed those of all others.
+void checkTls(const std::string &prefix, const http::TlsFiles &files,
+              bool mutual, Findings &findings) {
+  if (files.empty() && files.Authority.empty())
+    return;
+  if (files.Certificate.empty())
+    findings.push_back({prefix + "_cert", "a file, as the key is named", ""});
+  if (files.Key.empty())
+    findings.push_back(
+        {prefix + "_key", "a file, as the certificate is named", ""});
+  if (mutual && files.Authority.empty())
+    findings.push_back(
+        {prefix + "_ca", "the authority of the daemons' certificates", ""});
+}
+
+/// Failure: a listener on a real network without TLS. Symptom: tokens and
+/// rows can be read and changed on the way. Outside loopback plain text is
+/// therefore never a default, only a choice that was said outright.
+void checkPlainText(const char *flag, const std::string &address,
+                    const http::TlsFiles &files, bool plainText,
+                    Findings &findings) {
+  auto endpoint = http::parseEndpoint(address);
+  if (endpoint && !endpoint->address().is_loopback() && files.empty() &&
+      !plainText)
+    findings.push_back({flag, "TLS files, a loopback address or --plain_text",
+                        "'" + address + "' without any"});
+}
+
 } // namespace
 
 Parsed<DaemonOptions> parseOptions(const DaemonSettings &settings) {
@@ -48,6 +77,12 @@
   checkAddress("--platform", settings.Platform, findings);
   checkRange("--threads", settings.Threads, 1, MostThreads, findings);
   checkRange("--probe_ms", settings.ProbeMs, 10, MostProbeMs, findings);
+  checkTls("--tls", settings.CallerTls, false, findings);
+  checkTls("--inner", settings.InnerTls, true, findings);
+  checkPlainText("--listen", settings.ListenCallers, settings.CallerTls,
+                 settings.PlainText, findings);
+  checkPlainText("--listen_inner", settings.ListenInner, settings.InnerTls,
+                 settings.PlainText, findings);
   auto keys = parseTokenKeys(settings.TokenKeys);
   if (!keys)
     for (auto it : keys.error()) {
@@ -65,9 +100,35 @@
   out.ListenInner = settings.ListenInner;
   out.Platform = settings.Platform;
   out.Keys = keys.value();
+  out.CallerTls = settings.CallerTls;
+  out.InnerTls = settings.InnerTls;
   out.Threads = settings.Threads;
   out.ProbeInterval = std::chrono::milliseconds(settings.ProbeMs);
   return out;
 }
 
+Parsed<DaemonTls> loadTls(const DaemonOptions &options) {
+  DaemonTls out;
+  Findings findings;
+  auto take = [&](const char *flag, http::TlsContext &context,
+                  const Result<http::TlsContext> &loaded) {
+    if (loaded)
+      context = loaded.value();
+    else
+      findings.push_back(
+          {flag, "files in PEM form that match", loaded.error().Message});
+  };
+  if (!options.CallerTls.empty())
+    take("--tls_cert", out.Callers, http::makeServerTls(options.CallerTls));
+  if (!options.InnerTls.empty()) {
+    take("--inner_cert", out.InnerServer,
+         http::makeServerTls(options.InnerTls));
+    take("--inner_cert", out.InnerClient,
+         http::makeClientTls(options.InnerTls));
+  }
+  if (!findings.empty())
+    return findings;
+  return out;
+}
+
 } // namespace peridotfall
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -4,6 +4,7 @@
 #ifndef PERIDOTFALL_DAEMON_OPTIONS_H
 #define PERIDOTFALL_DAEMON_OPTIONS_H
 
+#include "http/tls.h"
 #include "peridotfall/membership.h"
 #include "peridotfall/result.h"
 #include "peridotfall/session_token.h"
@@ -23,6 +24,9 @@
   std::string ListenInner;
   std::string Platform;
   std::string TokenKeys;
+  http::TlsFiles CallerTls;
+  http::TlsFiles InnerTls;
+  bool PlainText = false; ///< Said outright; else only on loopback.
   std::uint32_t Threads = 2;
   std::uint32_t ProbeMs = 200;
 
@@ -36,6 +40,8 @@
   std::string ListenInner = "127.0.0.1:0";
   std::string Platform;
   TokenKeys Keys;
+  http::TlsFiles CallerTls; ///< Empty: plain text.
+  http::TlsFiles InnerTls;  ///< Empty: plain text. Else mutual.
   unsigned Threads = 2;
   std::chrono::milliseconds ProbeInterval{200};
 
@@ -45,6 +51,16 @@
 /// \return the options, or all findings; a place is the flag's name.
 Parsed<DaemonOptions> parseOptions(const DaemonSettings &settings);
 
+/// TLS contexts made of the files that the options name; null: plain text.
+struct DaemonTls {
+  http::TlsContext Callers;
+  http::TlsContext InnerServer;
+  http::TlsContext InnerClient;
+};
+
+/// Reads the files. \return the contexts, or all findings.
+Parsed<DaemonTls> loadTls(const DaemonOptions &options);
+
 } // namespace peridotfall
 
 #endif // PERIDOTFALL_DAEMON_OPTIONS_H
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -25,8 +25,7 @@
 using OnResult = std::function<void(CallResult)>;
 
 struct ChannelOptions {
-  TlsContext Tls;
-  std::string TlsName; ///< Checked against the certificate; empty: not.
+  TlsContext Tls = nullptr;
   /// Connects again for the next call after a loss. Off where the connection
   /// itself carries state, as a transaction's does.
   bool Reconnect = true;
--- /dev/null
+++ b/tools/demo_caller.cpp
@@ -0,0 +1,346 @@
+// Callers of the demo: roaming sessions that place orders, read their own
+// order back through another daemon, and look things up. At the end every
+// order is looked for at the primary and the promises are counted.
+
+#include "base/document.h"
+#include "http/channel.h"
+#include "http/loops.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <charconv>
+#include <chrono>
+#include <cstdint>
+#include <fmt/format.h>
+#include <fstream>
+#include <future>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+DEFINE_string(entries, "", "addresses of entry daemons, comma separated");
+DEFINE_string(database, "orders-shop", "database");
+DEFINE_uint32(sessions, 20, "sessions at once");
+DEFINE_uint32(seconds, 10, "how long orders are placed");
+DEFINE_uint32(lookups, 8, "lookups after each order");
+DEFINE_uint32(think_ms, 5, "pause of a session between requests");
+DEFINE_uint64(seed, 1, "seed of the sessions' choices");
+DEFINE_string(kill_file, "",
+              "file that holds the primary's death, in ms since the epoch");
+
+namespace {
+
+using namespace peridotfall;
+using Clock = std::chrono::system_clock;
+using std::chrono::milliseconds;
+
+constexpr int StatusOk = 200;
+constexpr milliseconds RequestDeadline{4'000};
+constexpr milliseconds RetryPause{50};
+constexpr milliseconds LastWait{20'000};
+
+std::int64_t nowMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             Clock::now().time_since_epoch())
+      .count();
+}
+
+struct Counts {
+  std::uint64_t Acknowledged = 0;
+  std::uint64_t OwnReads = 0;
+  std::uint64_t OwnSeen = 0;
+  std::uint64_t Reads = 0;
+  std::uint64_t ReplicaReads = 0;
+  std::uint64_t Retries = 0;
+};
+
+/// When a write was begun and acknowledged, in ms since the epoch.
+struct Ack {
+  std::int64_t Begun = 0;
+  std::int64_t Done = 0;
+};
+
+struct Answer {
+  bool Done = false;
+  Json Body;
+};
+
+class Load : public std::enable_shared_from_this<Load> {
+public:
+  Load(asio::io_context &loop, const std::vector<std::string> &entries)
+      : Loop(loop), Random(FLAGS_seed) {
+    for (const auto &it : entries)
+      Entries.push_back(
+          std::make_shared<http::Channel>(loop, it, http::ChannelOptions{}));
+  }
+
+  void run();
+  void close() {
+    for (const auto &it : Entries)
+      it->close();
+  }
+
+  Counts Total;
+  std::vector<std::string> Placed;
+  std::vector<Ack> Acks;
+  std::map<std::string, int> Found;
+
+private:
+  struct Session {
+    std::size_t Number = 0;
+    std::size_t Order = 0;
+    std::string Token;
+    std::uint32_t LookupsLeft = 0;
+    std::string Primary;
+  };
+  using SessionPtr = std::shared_ptr<Session>;
+  using OnAnswer = std::function<void(Answer)>;
+
+  void createTable(const std::function<void()> &then);
+  void placeOrder(const SessionPtr &it);
+  void readBack(const SessionPtr &it, const std::string &ref);
+  void lookUp(const SessionPtr &it);
+  void pause(milliseconds wait, std::function<void()> then);
+  /// Sends until it is done, through any daemon, with the same key.
+  void send(const SessionPtr &it, const Json &body, const std::string &key,
+            OnAnswer done);
+  bool over() const { return nowMs() >= End; }
+
+  asio::io_context &Loop;
+  std::vector<std::shared_ptr<http::Channel>> Entries;
+  std::mt19937_64 Random;
+  std::int64_t End = 0;
+  std::size_t Running = 0;
+  std::promise<void> Finished;
+};
+
+void Load::pause(milliseconds wait, std::function<void()> then) {
+  auto timer = std::make_shared<asio::steady_timer>(Loop, wait);
+  timer->async_wait([timer, then = std::move(then)](std::error_code ec) {
+    if (!ec)
+      then();
+  });
+}
+
+void Load::send(const SessionPtr &it, const Json &body, const std::string &key,
+                OnAnswer done) {
+  http::Request request;
+  request.Method = "POST";
+  request.Path = fmt::format("/v1/databases/{}/statements", FLAGS_database);
+  request.Body = body.dump();
+  request.Fields = {
+      {"peridotfall-deadline-ms", std::to_string(RequestDeadline.count())}};
+  if (!key.empty())
+    request.Fields.push_back({"idempotency-key", key});
+  if (!it->Token.empty())
+    request.Fields.push_back({"peridotfall-session", it->Token});
+  auto &entry = Entries[Random() % Entries.size()];
+  entry->call(
+      std::move(request), RequestDeadline + milliseconds(500),
+      [self = shared_from_this(), it, body, key,
+       done = std::move(done)](const http::CallResult &result) {
+        if (result) {
+          auto token =
+              http::findHeader(result.value().Fields, "peridotfall-session");
+          if (!token.empty())
+            it->Token = std::string(token);
+          if (result.value().Status == StatusOk) {
+            done({true, Json::parse(result.value().Body, nullptr, false)});
+            return;
+          }
+          if (result.value().Status == 400 || result.value().Status == 422) {
+            std::cerr << "refused: " << result.value().Body << "\n";
+            done({false, {}});
+            return;
+          }
+        }
+        ++self->Total.Retries;
+        if (nowMs() > self->End + LastWait.count()) {
+          std::cerr << "given up: "
+                    << (result ? result.value().Body : result.error().Message)
+                    << "\n";
+          done({false, {}});
+          return;
+        }
+        self->pause(RetryPause, [self, it, body, key, done] {
+          self->send(it, body, key, done);
+        });
+      });
+}
+
+void Load::createTable(const std::function<void()> &then) {
+  auto it = std::make_shared<Session>();
+  send(it,
+       {{"kind", "schema"},
+        {"sql", "CREATE TABLE IF NOT EXISTS orders(ref TEXT, item TEXT)"}},
+       "demo-schema", [then](const Answer &) { then(); });
+}
+
+void Load::placeOrder(const SessionPtr &it) {
+  if (over()) {
+    if (--Running == 0)
+      Finished.set_value();
+    return;
+  }
+  auto ref = fmt::format("order-{}-{}", it->Number, it->Order++);
+  Placed.push_back(ref);
+  auto begun = nowMs();
+  send(it,
+       {{"kind", "place-order"},
+        {"sql", "INSERT INTO orders(ref, item) VALUES(?, ?)"},
+        {"params", {ref, "flyer"}}},
+       ref, [self = shared_from_this(), it, ref, begun](const Answer &answer) {
+         if (answer.Done) {
+           ++self->Total.Acknowledged;
+           self->Acks.push_back({begun, nowMs()});
+           it->Primary = answer.Body.value("servedBy", "");
+           self->readBack(it, ref);
+         } else {
+           self->placeOrder(it);
+         }
+       });
+}
+
+void Load::readBack(const SessionPtr &it, const std::string &ref) {
+  send(it,
+       {{"kind", "order-status"},
+        {"sql", "SELECT count(*) FROM orders WHERE ref = ?"},
+        {"params", {ref}}},
+       "", [self = shared_from_this(), it](const Answer &answer) {
+         if (answer.Done) {
+           ++self->Total.OwnReads;
+           ++self->Total.Reads;
+           if (answer.Body["rows"][0][0] == 1)
+             ++self->Total.OwnSeen;
+           if (answer.Body.value("servedBy", "") != it->Primary)
+             ++self->Total.ReplicaReads;
+         }
+         it->LookupsLeft = FLAGS_lookups;
+         self->lookUp(it);
+       });
+}
+
+void Load::lookUp(const SessionPtr &it) {
+  if (it->LookupsLeft == 0) {
+    placeOrder(it);
+    return;
+  }
+  --it->LookupsLeft;
+  pause(milliseconds(FLAGS_think_ms), [self = shared_from_this(), it] {
+    self->send(it,
+               {{"kind", "catalogue"},
+                {"sql", "SELECT item, count(*) FROM orders GROUP BY item"}},
+               "", [self, it](const Answer &answer) {
+                 if (answer.Done) {
+                   ++self->Total.Reads;
+                   if (answer.Body.value("servedBy", "") != it->Primary)
+                     ++self->Total.ReplicaReads;
+                 }
+                 self->lookUp(it);
+               });
+  });
+}
+
+void Load::run() {
+  auto self = shared_from_this();
+  asio::post(Loop, [self] {
+    self->End = nowMs() + LastWait.count();
+    self->createTable([self] {
+      self->End = nowMs() + std::int64_t{FLAGS_seconds} * 1'000;
+      self->Running = FLAGS_sessions;
+      for (std::size_t n = 0; n < FLAGS_sessions; ++n) {
+        auto it = std::make_shared<Session>();
+        it->Number = n;
+        self->placeOrder(it);
+      }
+    });
+  });
+  Finished.get_future().wait();
+  std::promise<void> counted;
+  asio::post(Loop, [self, &counted] {
+    auto it = std::make_shared<Session>();
+    self->send(it,
+               {{"kind", "order-status"},
+                {"sql", "SELECT ref, count(*) FROM orders GROUP BY ref"}},
+               "", [self, &counted](const Answer &answer) {
+                 if (answer.Done)
+                   for (const auto &row : answer.Body["rows"])
+                     self->Found[row[0].get<std::string>()] = row[1].get<int>();
+                 counted.set_value();
+               });
+  });
+  counted.get_future().wait();
+}
+
+/// \return ms from the primary's death to the next acknowledged write, or -1.
+std::int64_t failoverGap(const std::vector<Ack> &acks) {
+  std::ifstream in(FLAGS_kill_file);
+  std::int64_t killed = 0;
+  if (FLAGS_kill_file.empty() || !(in >> killed))
+    return -1;
+  // A write begun before the death may have been acknowledged by the old
+  // primary; only one begun after it is sure to be the next one's.
+  std::int64_t gap = -1;
+  for (const auto &it : acks)
+    if (it.Begun > killed)
+      gap = gap < 0 ? it.Done - killed : std::min(gap, it.Done - killed);
+  return gap;
+}
+
+int report(const Load &load) {
+  std::uint64_t once = 0;
+  std::uint64_t doubled = 0;
+  for (const auto &[ref, n] : load.Found) {
+    once += n == 1;
+    doubled += n > 1;
+  }
+  std::uint64_t lost = 0;
+  for (const auto &it : load.Placed)
+    lost += load.Found.count(it) == 0;
+  const auto &total = load.Total;
+  // An order given up on has an unknown outcome and is not counted as lost.
+  auto open = load.Placed.size() - total.Acknowledged;
+  lost = lost > open ? lost - open : 0;
+  fmt::print(
+      "orders acknowledged {} found exactly once {} doubled {} lost {}\n",
+      total.Acknowledged, once, doubled, lost);
+  fmt::print("reads that must see the own write {} did {}\n", total.OwnReads,
+             total.OwnSeen);
+  fmt::print("share of reads served by replicas {:.3f} of {}\n",
+             total.Reads == 0 ? 0.0
+                              : static_cast<double>(total.ReplicaReads) /
+                                    static_cast<double>(total.Reads),
+             total.Reads);
+  auto gap = failoverGap(load.Acks);
+  if (!FLAGS_kill_file.empty())
+    fmt::print("failover gap {} ms\n", gap);
+  bool kept = total.Acknowledged > 0 && doubled == 0 && lost == 0 &&
+              total.OwnReads == total.OwnSeen && open == 0 &&
+              (FLAGS_kill_file.empty() || gap >= 0);
+  fmt::print("promises {}\n", kept ? "kept" : "BROKEN");
+  return kept ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::vector<std::string> entries;
+  std::istringstream in(FLAGS_entries);
+  for (std::string it; std::getline(in, it, ',');)
+    entries.push_back(it);
+  if (entries.empty()) {
+    std::cerr << "usage: demo_caller --entries ADDRESS[,ADDRESS...]\n";
+    return 2;
+  }
+  http::Loops loops(1);
+  auto load = std::make_shared<Load>(loops.at(0), entries);
+  load->run();
+  load->close();
+  return report(*load);
+}
