Decide a change of primary as a pure state machine

Cause: a group whose primary died or froze had nobody to replace it, and a change must neither lose an acknowledged write nor wait for the platform.

Change: each owner of one of a group's targets watches all three, two of three must miss the primary, the ranks act staggered. A change takes a term given beforehand to one replica, fences a majority, promotes the highest (term, index) or switches to that one's own later term. The object at the platform is written in calm times and after a change, never during one.

Ruled out: terms by residue of the target's number, which a change of configuration would make ambiguous; replacing the object without reading it back after each write; fencing where no majority of targets answers.

--- a/include/peridotfall/failover.h
+++ b/include/peridotfall/failover.h
@@ -163,6 +163,7 @@
   VmName Owner;
   TargetReport Report;
   std::optional<TimePoint> Answered; ///< When the last answer came.
+  unsigned Missed = 0;               ///< Probes failed since then.
   TimePoint NextProbe;
   TimePoint NextFollow;
   std::optional<TimePoint> AheadSince; ///< Of the primary's term.
@@ -175,13 +176,14 @@
 
 /// One attempt at a change of primary.
 struct Campaign {
-  enum class Phase : std::uint8_t { Fencing, Promoting, Announcing };
+  enum class Phase : std::uint8_t { Fencing, Promoting };
   Successor Candidate;
   Phase Step = Phase::Fencing;
   TimePoint Began;
   TimePoint NextTry;
   std::map<TargetName, TargetReport> Fenced;
-  std::map<TargetName, bool> Following;
+  /// A planned hand-over waits for this one to be fenced as well.
+  TargetName OldPrimary;
 };
 
 /// A planned hand-over: writes are held until the replica has drawn level.
@@ -199,7 +201,9 @@
   bool MustRead = true;
   TimePoint CallBegan;
   TimePoint NextCall;
-  TimePoint NextRefresh;
+  std::optional<TimePoint> LastRead;
+  unsigned Failures = 0;               ///< Calls in a row without an answer.
+  std::optional<TimePoint> StaleSince; ///< That it lacks what is seen here.
   std::uint64_t Writes = 0;
 };
 
@@ -215,6 +219,7 @@
   TargetName Primary;   ///< The last such; empty: none seen yet.
   Term InTerm = 0;
   std::optional<TimePoint> AgreedSince; ///< That a majority misses a primary.
+  Term HighestAtAgreement = 0;          ///< Highest term seen then.
   TimePoint NextCampaign;
   TimePoint NextHandover;
   TimePoint NextAsk;
@@ -260,8 +265,9 @@
                  std::uint64_t version, TimePoint now);
 /// Reading the object failed.
 Actions onObjectUnavailable(GroupState &group, TimePoint now);
+/// However a write ended, the object is read back next.
 Actions onPutDone(GroupState &group, const std::string &id, StepOutcome outcome,
-                  std::uint64_t version, TimePoint now);
+                  TimePoint now);
 
 /// This owner's answer to the others.
 Sights sightsOf(const GroupState &group, TimePoint now);
--- /dev/null
+++ b/src/failover/handover.cpp
@@ -0,0 +1,78 @@
+// Planned hand-over from a primary whose target is leaving.
+
+#include "failover/group.h"
+
+namespace peridotfall::failover {
+
+namespace {
+
+/// Writes that the target had taken when the hold began end within this.
+constexpr milliseconds Settle{50};
+constexpr milliseconds FastProbe{20};
+/// Between two attempts, so that a replica that lags for long does not make
+/// every write wait.
+constexpr milliseconds RetryHandover{3'000};
+
+const WatchedTarget *pickReplica(const GroupState &group, TimePoint now) {
+  const WatchedTarget *best = nullptr;
+  for (const auto &it : group.Targets)
+    if (it.Name != group.Primary && answersNow(group, it, now) &&
+        !it.Report.Leaving && it.Report.CurrentTerm == group.InTerm &&
+        (!best || it.Report.Last > best->Report.Last))
+      best = &it;
+  return best;
+}
+
+bool isLevel(const GroupState &group, const WatchedTarget &primary,
+             const WatchedTarget &replica) {
+  auto settled = group.Leaving->Began + Settle;
+  return primary.Answered && *primary.Answered >= settled && replica.Answered &&
+         *replica.Answered >= settled &&
+         replica.Report.Last == primary.Report.Last;
+}
+
+} // namespace
+
+void endHandover(GroupState &group, TimePoint now, Actions &out) {
+  if (!group.Leaving)
+    return;
+  group.Leaving.reset();
+  group.NextHandover = now + RetryHandover;
+  out.push_back(HoldWrites{now});
+}
+
+/// Failure: a leaving primary is fenced while its last writes are on no
+/// replica. Symptom: their callers get "unknown", though nothing failed.
+/// Writes are held first, the replica draws level, and the old primary is
+/// among the fenced: had it gone on, it would be the highest and be promoted
+/// again itself.
+void stepHandover(GroupState &group, TimePoint now, Actions &out) {
+  auto *primary = findWatched(group, group.Primary);
+  if (!primary || primary->Owner != group.Self || group.Running)
+    return;
+  if (!group.Leaving) {
+    const auto *replica = pickReplica(group, now);
+    if (!primary->Report.Leaving || !hasLeader(group, now) ||
+        now < group.NextHandover || !replica)
+      return;
+    group.Leaving = Handover{replica->Name, now};
+    out.push_back(HoldWrites{now + group.Limits.HandoverLimit});
+  }
+  auto *replica = findWatched(group, group.Leaving->To);
+  if (!replica || now - group.Leaving->Began >= group.Limits.HandoverLimit) {
+    endHandover(group, now, out);
+    return;
+  }
+  if (isLevel(group, *primary, *replica)) {
+    if (beginCampaign(group, replica->Name, now, out))
+      group.Running->OldPrimary = primary->Name;
+    else
+      endHandover(group, now, out);
+    return;
+  }
+  for (auto *it : {primary, replica})
+    if (it->NextProbe > now + FastProbe)
+      it->NextProbe = now + FastProbe;
+}
+
+} // namespace peridotfall::failover
--- /dev/null
+++ b/tests/failover/failover_test.cpp
@@ -0,0 +1,243 @@
+#include "failover/simulation.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace peridotfall;
+using namespace peridotfall::simulation;
+
+namespace {
+
+constexpr std::chrono::seconds Calm{5};
+constexpr std::chrono::seconds Long{10};
+
+struct FailoverFixture {
+  Simulation Sim{7};
+
+  FailoverFixture() { Sim.runFor(Calm); }
+
+  bool leads(std::size_t n) const { return Sim.leader() == n; }
+  bool newLeader(Duration span) {
+    return Sim.runUntil(
+        [&] { return Sim.leader() != 0 && Sim.leader() != Domains; }, span);
+  }
+  template <class T> std::size_t count() const {
+    return static_cast<std::size_t>(std::count_if(
+        Sim.History.begin(), Sim.History.end(),
+        [](const auto &it) { return std::holds_alternative<T>(it.second); }));
+  }
+  bool runUntilAction(const std::function<bool(const Action &)> &wanted) {
+    return Sim.runUntil(
+        [&] {
+          return std::any_of(Sim.History.begin(), Sim.History.end(),
+                             [&](const auto &it) { return wanted(it.second); });
+        },
+        Long);
+  }
+};
+
+template <class T> bool isA(const Action &it) {
+  return std::holds_alternative<T>(it);
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "group, in calm, publishes successors once and keeps its "
+                  "primary") {
+  REQUIRE(Sim.Platform.Object);
+  CHECK(Sim.Platform.Writes == 1);
+  CHECK(Sim.Platform.Object->Primary == Sim.Targets[0].Name);
+  CHECK(Sim.Platform.Object->Successors.size() == 12);
+  CHECK(leads(0));
+  CHECK(count<CampaignBegun>() == 0);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "group, primary killed, is led by a replica and published") {
+  // A caller's write fails for under two seconds, then goes on: both other
+  // owners miss the primary, rank 0 fences two targets and promotes one.
+  Sim.Targets[0].Alive = false;
+  CHECK(newLeader(std::chrono::seconds(2)));
+  Sim.runFor(Calm);
+  CHECK(Sim.Promotions == 1);
+  CHECK(Sim.Platform.Object->InTerm ==
+        Sim.Targets[Sim.leader()].Report.CurrentTerm);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "group, primary frozen, changes as fast, and the old one "
+                  "follows on waking") {
+  // The primary stops for 5 s and wakes believing that it leads. Its record
+  // that no replica has is dropped as it follows the new one.
+  Sim.Targets[0].FrozenUntil = Sim.now() + std::chrono::seconds(5);
+  Sim.Targets[0].Log.emplace_back(1, 99);
+  CHECK(newLeader(std::chrono::seconds(2)));
+  Sim.runFor(Long);
+  CHECK_FALSE(Sim.Targets[0].Report.IsPrimary);
+  CHECK(Sim.Targets[0].Log == Sim.Targets[Sim.leader()].Log);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "group, platform down, fails over three times by terms "
+                  "agreed beforehand") {
+  // Callers notice nothing of the outage: each primary in turn dies and
+  // comes back, and the terms come from the object read in calm times.
+  Sim.Platform.Down = true;
+  for (int n = 0; n < 3; ++n) {
+    auto old = Sim.leader();
+    Sim.Targets[old].Alive = false;
+    CHECK(Sim.runUntil(
+        [&] { return Sim.leader() != old && Sim.leader() != Domains; },
+        std::chrono::seconds(3)));
+    Sim.Targets[old].Alive = true;
+    Sim.runFor(Calm);
+  }
+  CHECK(Sim.Platform.Object->InTerm == 1);
+  Sim.Platform.Down = false;
+  Sim.runFor(std::chrono::seconds(60));
+  CHECK(Sim.Platform.Object->InTerm ==
+        Sim.Targets[Sim.leader()].Report.CurrentTerm);
+  CHECK_FALSE(Sim.TwoLedOneTerm);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "group object, answer lost, is read back and no term is "
+                  "given twice") {
+  // The platform stores the object of a new primary, and its answer is lost.
+  // The owner reads it back before it writes again, so one write suffices.
+  auto before = Sim.Platform.Object->Successors;
+  Sim.Platform.LoseAnswers = 1;
+  Sim.Targets[0].Alive = false;
+  REQUIRE(newLeader(std::chrono::seconds(2)));
+  Sim.runFor(std::chrono::seconds(20));
+  CHECK(Sim.Platform.Writes == 2);
+  for (const auto &it : Sim.Platform.Object->Successors)
+    for (const auto &old : before)
+      CHECK((it.InTerm != old.InTerm || it.Nominee == old.Nominee));
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "group, two candidates at once, ends with one primary") {
+  // Two owners are told at the same instant that the primary is dead, by
+  // their own silence, and both act: the higher term wins, and no term is
+  // led by two.
+  Sim.Targets[0].Alive = false;
+  Sim.runFor(milliseconds(550));
+  for (std::size_t n : {1, 2}) {
+    Sim.Owners[n].Group.AgreedSince = Sim.now() - std::chrono::seconds(3);
+    Sim.Owners[n].Group.HighestAtAgreement = 100;
+  }
+  CHECK(newLeader(std::chrono::seconds(4)));
+  Sim.runFor(Long);
+  CHECK(Sim.leader() != Domains);
+  CHECK_FALSE(Sim.TwoLedOneTerm);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "candidate, frozen between fencing and promotion, is "
+                  "replaced and refused on waking") {
+  // Rank 0 fences and freezes for 6 s. The next rank promotes in a later
+  // term; the sleeper wakes and its promotion is refused by the target.
+  Sim.Targets[0].Alive = false;
+  REQUIRE(runUntilAction(isA<Fence>));
+  auto candidate = Sim.History.back().first;
+  Sim.Owners[candidate].FrozenUntil = Sim.now() + std::chrono::seconds(6);
+  CHECK(newLeader(std::chrono::seconds(4)));
+  auto term = Sim.Targets[Sim.leader()].Report.CurrentTerm;
+  Sim.runFor(Long);
+  CHECK(Sim.Targets[Sim.leader()].Report.CurrentTerm == term);
+  CHECK_FALSE(Sim.TwoLedOneTerm);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "nominee, found behind a fenced replica, yields to it") {
+  // The owners last saw t1 ahead; by the time both are fenced t2 has a write
+  // that t1 lacks, and it may be an acknowledged one. t2's term is used.
+  Sim.Targets[0].Alive = false;
+  REQUIRE(runUntilAction(isA<Fence>));
+  Sim.Targets[2].Log.emplace_back(1, 42);
+  REQUIRE(newLeader(std::chrono::seconds(3)));
+  Sim.runFor(Calm);
+  CHECK(leads(2));
+  CHECK(count<CampaignBegun>() == 2);
+  for (auto n : {1, 2})
+    CHECK(Sim.Targets[n].Log[1] == std::pair<Term, std::uint64_t>(1, 42));
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "owner, alone in missing the primary, changes nothing") {
+  // One failure domain is cut off from the primary's. Its owner finds that
+  // the third still sees the primary, and does not act.
+  Sim.Cuts[0][1] = true;
+  Sim.runFor(Long);
+  CHECK(leads(0));
+  CHECK(count<Fence>() == 0);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture, "owner, cut off from all, fences nothing") {
+  // Alone with its own target it could only harm: the target would refuse
+  // its primary's log in a term that nobody can lead.
+  for (std::size_t n : {0, 1})
+    Sim.Cuts[2][n] = true;
+  Sim.runFor(Long);
+  CHECK(leads(0));
+  CHECK(count<Fence>() == 0);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "replica, fenced by a candidate that gave up, is healed") {
+  // Its primary's log would be refused for ever; the primary is promoted
+  // again in a higher term, and the replica follows.
+  Sim.Targets[2].Report.CurrentTerm = 3;
+  Sim.Targets[2].Report.Following = TargetName();
+  Sim.runFor(Long);
+  CHECK(leads(0));
+  CHECK(Sim.Targets[0].Report.CurrentTerm > 3);
+  CHECK(Sim.Targets[2].Report.Following == Sim.Targets[0].Name);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, leaving, hands over with its whole log") {
+  // Writes are held for a moment, the replica draws level, and the old
+  // primary's last write is in the new one's log.
+  REQUIRE(Sim.write(0, 5));
+  Sim.Targets[0].Report.Leaving = true;
+  REQUIRE(newLeader(std::chrono::seconds(3)));
+  CHECK(count<HoldWrites>() >= 1);
+  CHECK(Sim.Targets[Sim.leader()].Log[1].second == 5);
+  Sim.runFor(Calm);
+  CHECK(Sim.Promotions == 1);
+}
+
+TEST_CASE("group, an hour with jitter and pauses under the limit, keeps its "
+          "primary") {
+  // Targets and owners stop for just less than the limit, again and again;
+  // no caller may notice a change of primary.
+  Timings limits;
+  Simulation sim(11, Thaali, limits);
+  auto most = pauseLimit(limits, milliseconds(20));
+  CHECK(most == milliseconds(400));
+  constexpr int Rounds = 360;
+  for (int n = 0; n < Rounds; ++n) {
+    sim.runFor(std::chrono::seconds(9) + milliseconds(sim.below(1'000)));
+    auto until = sim.now() + most - milliseconds(1);
+    if (n % 2 == 0)
+      sim.Targets[sim.below(Domains)].FrozenUntil = until;
+    else
+      sim.Owners[sim.below(Domains)].FrozenUntil = until;
+  }
+  CHECK(sim.Promotions == 0);
+}
+
+TEST_CASE("group object, written and parsed, is the same; terms that fall are "
+          "findings") {
+  GroupObject it{"id-1", 4, TargetName("a"), {{5, TargetName("b")}}};
+  auto parsed = parseGroupObject(writeGroupObject(it));
+  REQUIRE(parsed);
+  CHECK(parsed.value() == it);
+  it.Successors.push_back({5, TargetName("c")});
+  auto bad = parseGroupObject(writeGroupObject(it));
+  REQUIRE_FALSE(bad);
+  CHECK(bad.error().front().Place == "/successors/1/term");
+}
