Change a primary in the running system, and confirm by rounds

Cause: the daemon only looked for a primary; nobody made one.

Change: failover_driver takes the prober's place: it runs the state machine for each group in which the daemon owns a target, exchanges views with the other owners and performs the fences, promotions and updates. Confirmer runs the rounds of confirmation. Writes are held at the owner during a planned hand-over. A probe is given up after 400 ms.

Found on the way: to a dead target two connection attempts failed in turn, each while the other was tried again, so the owner's queue was never refused and its requests waited 5 s, with some thousand attempts. The queue is now refused when no connection is open.

Ruled out: the queue refused at each failed attempt, which would turn away requests while open connections work on it.

--- a/include/peridotfall/failover.h
+++ b/include/peridotfall/failover.h
@@ -39,6 +39,10 @@
   auto operator<=>(const Timings &) const = default;
 };
 
+/// The waits for an interval between probes. Longer ones cost less traffic and
+/// notice a dead primary later.
+Timings timingsFor(milliseconds probeInterval);
+
 /// Longest pause that cannot cause a change of primary, given the longest
 /// round trip of a probe.
 milliseconds pauseLimit(const Timings &timings, milliseconds roundTrip);
--- a/src/daemon/confirm.cpp
+++ b/src/daemon/confirm.cpp
@@ -1,78 +1,135 @@
 #include "daemon/confirm.h"
 
-#include <atomic>
-#include <memory>
+#include "daemon/failover_calls.h"
+
+#include <optional>
 #include <utility>
 
 namespace peridotfall {
 
-namespace {
+using failover::TargetReport;
 
-/// One confirmation under way; the first replica that holds the position
-/// decides, or the last answer.
-struct Round {
+/// The rounds of one primary.
+struct Confirmer::Line {
+  std::mutex Lock;
+  failover::ConfirmState State;
+  DatabaseConfig Database;
   TargetPtr Primary;
-  Position At;
-  OnConfirmed Done;
-  std::atomic<int> Waiting{0};
-  std::atomic<bool> Held{false};
+  std::vector<TargetPtr> Replicas;
+  std::map<TicketHandle, OnConfirmed> Waiting;
 };
-using RoundPtr = std::shared_ptr<Round>;
 
-/// Failure: the primary was cut off and a majority accepted a higher term
-/// while the replica's answer travelled. Symptom: an acknowledgement by a
-/// replaced primary. The replica's answer alone proves that the write is in
-/// every later term; the primary's keeps a fenced one from answering.
-void askPrimary(const RoundPtr &round) {
-  round->Primary->Calls.GetStatus([round](const Result<target::Status> &it) {
-    round->Done(it && it.value().IsPrimary &&
-                it.value().CurrentTerm == round->At.InTerm);
-  });
+void Confirmer::run(const Clock &clock, const LinePtr &line, const Step &step) {
+  failover::ConfirmActions actions;
+  std::vector<std::pair<OnConfirmed, bool>> answers;
+  {
+    std::lock_guard guard(line->Lock);
+    actions = step(line->State);
+    for (const auto &it : actions)
+      if (const auto *done = std::get_if<failover::Confirmed>(&it)) {
+        auto waiting = line->Waiting.extract(done->Ticket);
+        answers.emplace_back(std::move(waiting.mapped()), done->Safe);
+      }
+  }
+  for (const auto &it : actions)
+    if (const auto *replicas = std::get_if<failover::AskReplicas>(&it))
+      ask(clock, line, *replicas);
+    else if (const auto *primary = std::get_if<failover::AskPrimary>(&it))
+      ask(clock, line, *primary);
+  for (const auto &[done, safe] : answers)
+    done(safe);
 }
 
-/// A replica fenced into the term with a diverged tail has the length and not
-/// the content, so its last record must be of the term itself.
-bool holds(const target::Status &it, Position at) {
-  return it.CurrentTerm == at.InTerm && it.Last.InTerm == at.InTerm &&
-         it.Last >= at;
+void Confirmer::ask(const Clock &clock, const LinePtr &line,
+                    const failover::AskReplicas &it) {
+  auto done = [&clock, line, it](const Result<target::Status> &status) {
+    std::optional<TargetReport> report;
+    if (status)
+      report = toReport(status.value());
+    run(clock, line, [&](failover::ConfirmState &state) {
+      return failover::onReplica(state, it.Round, report, clock.now());
+    });
+  };
+  std::vector<TargetPtr> replicas;
+  {
+    std::lock_guard guard(line->Lock);
+    replicas = line->Replicas;
+  }
+  for (const auto &replica : replicas)
+    replica->Calls.AwaitPosition(it.At.InTerm, it.At, it.Wait, done);
 }
 
-void takeReplica(const RoundPtr &round, const Result<target::Status> &it) {
-  bool last = --round->Waiting == 0;
-  if (it && holds(it.value(), round->At)) {
-    if (!round->Held.exchange(true))
-      askPrimary(round);
-  } else if (last && !round->Held.exchange(true)) {
-    round->Done(false);
+void Confirmer::ask(const Clock &clock, const LinePtr &line,
+                    const failover::AskPrimary &it) {
+  auto done = [&clock, line, it](const Result<target::Status> &status) {
+    std::optional<TargetReport> report;
+    if (status)
+      report = toReport(status.value());
+    run(clock, line, [&](failover::ConfirmState &state) {
+      return failover::onPrimary(state, it.Round, report, clock.now());
+    });
+  };
+  TargetPtr primary;
+  {
+    std::lock_guard guard(line->Lock);
+    primary = line->Primary;
   }
+  primary->Calls.GetStatus(done);
 }
 
-} // namespace
-
-void confirmPosition(Targets &targets, const DatabaseConfig &database,
-                     const TargetName &primary, Position at,
-                     std::chrono::milliseconds limit, OnConfirmed done) {
-  auto round = std::make_shared<Round>();
-  round->At = at;
-  round->Done = std::move(done);
-  std::vector<TargetPtr> replicas;
-  for (const auto &it : database.Targets) {
-    auto api = targets.get(it.Address);
-    if (it.Name == primary)
-      round->Primary = api;
-    else
-      replicas.push_back(std::move(api));
+void Confirmer::confirmPosition(const DatabaseConfig &database,
+                                const TargetName &primary, Position at,
+                                std::chrono::milliseconds limit,
+                                OnConfirmed done) {
+  LinePtr line;
+  {
+    std::lock_guard guard(Lock);
+    auto &it = Lines[primary];
+    if (!it)
+      it = std::make_shared<Line>();
+    line = it;
+  }
+  bool possible = false;
+  {
+    std::lock_guard guard(line->Lock);
+    if (line->Database != database) {
+      line->Database = database;
+      line->Primary.reset();
+      line->Replicas.clear();
+      for (const auto &it : database.Targets) {
+        auto api = Apis.get(it.Address);
+        if (it.Name == primary)
+          line->Primary = std::move(api);
+        else
+          line->Replicas.push_back(std::move(api));
+      }
+      line->State.Replicas = line->Replicas.size();
+    }
+    possible = line->Primary && !line->Replicas.empty();
   }
-  round->Waiting = static_cast<int>(replicas.size());
-  if (!round->Primary || replicas.empty()) {
-    round->Done(false);
+  if (!possible) {
+    done(false);
     return;
   }
-  for (const auto &it : replicas)
-    it->Calls.AwaitPosition(at.InTerm, at, limit,
-                            [round](const Result<target::Status> &status) {
-                              takeReplica(round, status);
-                            });
+  run(Time, line, [&](failover::ConfirmState &state) {
+    TicketHandle ticket;
+    auto now = Time.now();
+    auto actions = failover::onCommitted(state, at, now + limit, now, ticket);
+    line->Waiting[ticket] = std::move(done);
+    return actions;
+  });
+}
+
+void Confirmer::giveUpLate() {
+  std::map<TargetName, LinePtr> lines;
+  {
+    std::lock_guard guard(Lock);
+    lines = Lines;
+  }
+  for (const auto &[primary, line] : lines)
+    run(Time, line, [&](failover::ConfirmState &state) {
+      return failover::onConfirmTick(state, Time.now());
+    });
 }
 
 } // namespace peridotfall
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -45,8 +45,11 @@
           std::make_shared<Owner>(Time, Options.Self.Vm, Config, Apis, Views)),
       Routes(
           std::make_shared<Router>(Loops, Time, Config, Peers, Views, *Local)),
-      Probes(std::make_shared<Prober>(Loops.at(0), Time, Config, Peers, Apis,
-                                      Views, Options.ProbeInterval)),
+      Failover(std::make_shared<FailoverDriver>(
+          Loops.at(0), Time, Config, Peers, Apis, Views,
+          platform::makeHttpPlatform(Loops.at(0),
+                                     {.Address = Options.Platform}),
+          failover::timingsFor(Options.ProbeInterval))),
       Sync(std::make_shared<PlatformSync>(
           Loops.at(0),
           platform::makeHttpPlatform(Loops.at(0),
@@ -81,7 +84,7 @@
   if (!findings.empty())
     return findings;
   Sync->start();
-  Probes->start();
+  Failover->start([owner = Local] { owner->giveUpLate(); });
   telemetry::log(Event::Started,
                  {field("vm", Options.Self.Vm.Value),
                   field("callers", callerPort()), field("inner", innerPort())});
@@ -97,7 +100,7 @@
   while ((Serving > 0 || Local->inFlight() > 0) && Time.now() < end)
     std::this_thread::sleep_for(Step);
   bool finished = Serving == 0 && Local->inFlight() == 0;
-  Probes->stop();
+  Failover->stop();
   Sync->stop();
   Inner->drain();
   Callers->stop();
@@ -155,6 +158,11 @@
     respond({StatusOk, {}, messages::encode(info)});
     return;
   }
+  if (request.Path == messages::GroupViewPath) {
+    auto body = Failover->answerView(request.Body);
+    respond({body ? StatusOk : StatusNotFound, {}, body.value_or("")});
+    return;
+  }
   if (request.Path != messages::StatementPath) {
     respond({StatusNotFound, {}, ""});
     return;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,11 +5,11 @@
 #define PERIDOTFALL_DAEMON_DAEMON_H
 
 #include "config/in_force.h"
+#include "daemon/failover_driver.h"
 #include "daemon/fleet.h"
 #include "daemon/options.h"
 #include "daemon/owner.h"
 #include "daemon/platform_sync.h"
-#include "daemon/prober.h"
 #include "daemon/router.h"
 #include "daemon/targets.h"
 #include "daemon/views.h"
@@ -54,7 +54,7 @@
   Fleet Peers;
   std::shared_ptr<Owner> Local;
   std::shared_ptr<Router> Routes;
-  std::shared_ptr<Prober> Probes;
+  std::shared_ptr<FailoverDriver> Failover;
   std::shared_ptr<PlatformSync> Sync;
   std::shared_ptr<http::Server> Callers;
   std::shared_ptr<http::Server> Inner;
--- /dev/null
+++ b/src/daemon/failover_driver.h
@@ -0,0 +1,101 @@
+/// \file
+/// Runs the change of primary for each group in which this daemon owns a
+/// target: probes, asks the other owners, and performs the actions.
+
+#ifndef PERIDOTFALL_DAEMON_FAILOVER_DRIVER_H
+#define PERIDOTFALL_DAEMON_FAILOVER_DRIVER_H
+
+#include "config/in_force.h"
+#include "daemon/fleet.h"
+#include "daemon/targets.h"
+#include "daemon/views.h"
+#include "peridotfall/clock.h"
+#include "peridotfall/failover.h"
+#include "platform/platform.h"
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace peridotfall {
+
+class FailoverDriver : public std::enable_shared_from_this<FailoverDriver> {
+public:
+  FailoverDriver(asio::io_context &loop, const Clock &clock,
+                 const ConfigurationInForce &config, Fleet &fleet,
+                 Targets &targets, GroupViews &views, platform::Api platform,
+                 const failover::Timings &limits);
+
+  /// \param onTick called with each tick, on the loop.
+  void start(std::function<void()> onTick);
+  void stop();
+  /// Answers another owner, from any thread. \return the body, or nothing
+  /// where this daemon does not watch the group.
+  std::optional<std::string> answerView(const std::string &body) const;
+
+private:
+  struct Group {
+    Group(DatabaseConfig config, failover::GroupState state)
+        : State(std::move(state)), Config(std::move(config)) {}
+
+    std::mutex Lock;
+    failover::GroupState State;
+    const DatabaseConfig Config;
+    std::map<TargetName, bool> Lost;
+  };
+  using GroupPtr = std::shared_ptr<Group>;
+  using Step = std::function<failover::Actions(failover::GroupState &)>;
+
+  void tick();
+  void refreshGroups();
+  /// \return the group, made anew where its configuration has changed.
+  GroupPtr makeGroup(const DatabaseConfig &database,
+                     const std::vector<failover::OwnedTarget> &owners) const;
+  std::optional<std::vector<failover::OwnedTarget>>
+  ownersOf(const Configuration &config, const DatabaseConfig &database) const;
+  GroupPtr find(const DatabaseName &database) const;
+  /// Runs a step of the machine under the group's lock, and performs what
+  /// comes out of it after.
+  void run(const GroupPtr &group, const Step &step);
+
+  void perform(const GroupPtr &group, const failover::Probe &it);
+  void perform(const GroupPtr &group, const failover::AskPeer &it);
+  void perform(const GroupPtr &group, const failover::Fence &it);
+  void perform(const GroupPtr &group, const failover::Promote &it);
+  void perform(const GroupPtr &group, const failover::Follow &it);
+  void perform(const GroupPtr &group, const failover::GetObject &it);
+  void perform(const GroupPtr &group, const failover::PutObject &it);
+  void perform(const GroupPtr &group, const failover::HoldWrites &it);
+  void perform(const GroupPtr &group, const failover::PrimaryChanged &it);
+  void perform(const GroupPtr &group, const failover::CampaignBegun &it);
+  void perform(const GroupPtr &group, const failover::CampaignFailed &it);
+  void perform(const GroupPtr &group, const failover::TermsExhausted &it);
+  void took(const GroupPtr &group, const TargetName &target,
+            const Result<target::Status> &status);
+  void readObject(const GroupPtr &group, const Result<platform::Object> &it);
+
+  asio::steady_timer Timer;
+  const Clock &Time;
+  const ConfigurationInForce &Config;
+  Fleet &Peers;
+  Targets &Apis;
+  GroupViews &Views;
+  const platform::Api Platform;
+  const failover::Timings Limits;
+  std::function<void()> OnTick;
+
+  std::uint64_t Revision = 0;  ///< That the groups were made from.
+  std::vector<Member> Members; ///< The same.
+  mutable std::mutex Lock;
+  std::map<DatabaseName, GroupPtr> Groups;
+};
+
+} // namespace peridotfall
+
+#endif // PERIDOTFALL_DAEMON_FAILOVER_DRIVER_H
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -21,7 +21,7 @@
               "Better given as PERIDOTFALL_TOKEN_KEYS than on the command "
               "line, which others can read");
 DEFINE_uint32(threads, 2, "event loops, one a thread");
-DEFINE_uint32(probe_ms, 200, "milliseconds between probes of a target");
+DEFINE_uint32(probe_ms, 150, "milliseconds between probes of a target");
 DEFINE_uint32(shutdown_ms, 10000, "longest wait for requests in flight");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -24,7 +24,7 @@
   std::string Platform;
   std::string TokenKeys;
   std::uint32_t Threads = 2;
-  std::uint32_t ProbeMs = 200;
+  std::uint32_t ProbeMs = 150;
 
   auto operator<=>(const DaemonSettings &) const = default;
 };
@@ -37,7 +37,7 @@
   std::string Platform;
   TokenKeys Keys;
   unsigned Threads = 2;
-  std::chrono::milliseconds ProbeInterval{200};
+  std::chrono::milliseconds ProbeInterval{150};
 
   auto operator<=>(const DaemonOptions &) const = default;
 };
--- a/src/daemon/owner.cpp
+++ b/src/daemon/owner.cpp
@@ -1,7 +1,5 @@
 #include "daemon/owner.h"
 
-#include "daemon/confirm.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -10,6 +8,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds RetryAfterUnavailable{500};
+constexpr std::chrono::milliseconds RetryAfterHeld{100};
 
 /// A connection whose last answer was lost may still carry it, or hold an
 /// open transaction: handed on, it would give one caller another's rows.
@@ -23,7 +22,7 @@
              const ConfigurationInForce &config, Targets &targets,
              GroupViews &views)
     : Time(clock), Self(std::move(self)), Config(config), Apis(targets),
-      Views(views) {}
+      Views(views), Confirms(clock, targets) {}
 
 Owner::Shard &Owner::shardOf(const TargetName &target) {
   return Shards[std::hash<TargetName>{}(target) % Shards.size()];
@@ -55,6 +54,12 @@
                 "database or target not in the configuration in force"));
     return;
   }
+  bool opens = request.Transaction.empty() && request.Mode == Access::Write;
+  if (opens && Views.writesHeld(request.Database, Time.now())) {
+    done(notRun(request, AnswerCode::NotPrimary, "the primary is handing over",
+                RetryAfterHeld));
+    return;
+  }
   ++Running;
   auto counted = [self = shared_from_this(),
                   done = std::move(done)](StatementAnswer it) {
@@ -139,8 +144,10 @@
       pool.Idle.push_back(result.value());
     else {
       --pool.Held;
-      // With no connection at all nothing would ever take from the queue.
-      if (pool.Held == 0)
+      // With no open connection nothing would take from the queue. Those being
+      // opened do not count: to a dead target two would fail in turn, each
+      // while the other is tried again, and the queue would wait for ever.
+      if (pool.Held == pool.Opening)
         refused = std::exchange(pool.Queue, {});
     }
   }
@@ -202,8 +209,8 @@
   }
   auto limit = std::min(work.Database.ConfirmLimit, timeLeft(work.Deadline));
   auto at = answer.At;
-  confirmPosition(
-      Apis, work.Database, work.Request.Target, at,
+  Confirms.confirmPosition(
+      work.Database, work.Request.Target, at,
       std::max(limit, std::chrono::milliseconds(1)),
       [work, answer = std::move(answer)](bool confirmed) {
         if (confirmed)
--- a/src/daemon/owner.h
+++ b/src/daemon/owner.h
@@ -6,6 +6,7 @@
 #define PERIDOTFALL_DAEMON_OWNER_H
 
 #include "config/in_force.h"
+#include "daemon/confirm.h"
 #include "daemon/targets.h"
 #include "daemon/views.h"
 #include "peridotfall/clock.h"
@@ -37,6 +38,8 @@
   void execute(StatementRequest request, GoneFlag gone, OnAnswer done);
   /// Requests admitted and not yet answered, and open transactions.
   std::size_t inFlight() const;
+  /// Gives up confirmations that are past their limit; to be called often.
+  void giveUpLate() { Confirms.giveUpLate(); }
 
 private:
   struct Work {
@@ -90,6 +93,7 @@
   const ConfigurationInForce &Config;
   Targets &Apis;
   GroupViews &Views;
+  Confirmer Confirms;
   std::array<Shard, limits::OwnerShards> Shards;
   std::atomic<std::size_t> Running{0};
 };
--- a/src/daemon/views.cpp
+++ b/src/daemon/views.cpp
@@ -29,6 +29,19 @@
   group.Primary = primary;
 }
 
+void GroupViews::holdWrites(const DatabaseName &database, TimePoint until) {
+  auto &shard = shardOf(database);
+  std::lock_guard guard(shard.Lock);
+  shard.Groups[database].HeldUntil = until;
+}
+
+bool GroupViews::writesHeld(const DatabaseName &database, TimePoint now) const {
+  const auto &shard = shardOf(database);
+  std::lock_guard guard(shard.Lock);
+  auto it = shard.Groups.find(database);
+  return it != shard.Groups.end() && it->second.HeldUntil > now;
+}
+
 bool GroupViews::learnStatus(const DatabaseName &database,
                              const TargetName &target, const TargetView &view) {
   auto &shard = shardOf(database);
--- a/src/daemon/views.h
+++ b/src/daemon/views.h
@@ -23,7 +23,8 @@
 
 struct GroupView {
   Term InTerm = 0;
-  TargetName Primary; ///< Empty: not known.
+  TargetName Primary;  ///< Empty: not known.
+  TimePoint HeldUntil; ///< Writes are held, for a planned hand-over.
   std::map<TargetName, TargetView> Targets;
 };
 
@@ -34,6 +35,9 @@
   /// Takes a hint of another daemon; one of a lower term is ignored.
   void learnPrimary(const DatabaseName &database, Term term,
                     const TargetName &primary);
+  /// Holds writes until then. A time that has passed: no longer.
+  void holdWrites(const DatabaseName &database, TimePoint until);
+  bool writesHeld(const DatabaseName &database, TimePoint now) const;
   /// Takes a probe's answer. \return whether the primary changed by it.
   bool learnStatus(const DatabaseName &database, const TargetName &target,
                    const TargetView &view);
--- a/src/failover/detection.cpp
+++ b/src/failover/detection.cpp
@@ -29,6 +29,18 @@
       findWatched(static_cast<const GroupState &>(group), name));
 }
 
+Timings timingsFor(milliseconds probeInterval) {
+  constexpr int ProbesToSuspect = 4;
+  constexpr int ProbesToStagger = 2;
+  // A suspicion must outlast the ticks and the probes' own limit.
+  constexpr milliseconds LeastSuspicion{600};
+  Timings it;
+  it.ProbeInterval = probeInterval;
+  it.SuspectAfter = std::max(probeInterval * ProbesToSuspect, LeastSuspicion);
+  it.Stagger = std::max(probeInterval * ProbesToStagger, it.Stagger);
+  return it;
+}
+
 milliseconds pauseLimit(const Timings &timings, milliseconds roundTrip) {
   // The last answer before a pause may be as old as one interval with its
   // jitter, and the first after it takes a round trip.
--- /dev/null
+++ b/src/messages/group_view.cpp
@@ -0,0 +1,72 @@
+#include "messages/group_view.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace peridotfall::messages {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+/// Past this a sum with the clock could overflow; no answer is that old.
+constexpr std::uint64_t OldestAge = 365ULL * 86'400 * 1'000'000;
+
+Error malformed() {
+  return {ErrorCode::Invalid, "group view: not a message of this protocol"};
+}
+
+} // namespace
+
+std::string encode(const GroupViewRequest &it) {
+  inner::GroupViewRequest out;
+  out.set_database(it.Database.Value);
+  return out.SerializeAsString();
+}
+
+std::string encode(const GroupViewAnswer &it) {
+  inner::GroupViewAnswer out;
+  out.set_database(it.Database.Value);
+  out.set_vm(it.Vm.Value);
+  for (const auto &[name, sight] : it.Seen) {
+    auto *target = out.add_targets();
+    target->set_target(name.Value);
+    target->set_reachable(sight.Reachable);
+    target->set_primary(sight.Report.IsPrimary);
+    target->set_term(sight.Report.CurrentTerm);
+    target->mutable_last()->set_term(sight.Report.Last.InTerm);
+    target->mutable_last()->set_index(sight.Report.Last.Index);
+    auto age = duration_cast<microseconds>(sight.Age).count();
+    target->set_age_us(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0)));
+  }
+  return out.SerializeAsString();
+}
+
+Result<GroupViewRequest> decodeGroupViewRequest(const std::string &bytes) {
+  inner::GroupViewRequest in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  return GroupViewRequest{DatabaseName(in.database())};
+}
+
+Result<GroupViewAnswer> decodeGroupViewAnswer(const std::string &bytes) {
+  inner::GroupViewAnswer in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  GroupViewAnswer it;
+  it.Database = DatabaseName(in.database());
+  it.Vm = VmName(in.vm());
+  for (const auto &target : in.targets()) {
+    auto &sight = it.Seen[TargetName(target.target())];
+    sight.Reachable = target.reachable();
+    sight.Report.IsPrimary = target.primary();
+    sight.Report.CurrentTerm = target.term();
+    sight.Report.Last = {target.last().term(), target.last().index()};
+    sight.Age = microseconds(std::min(target.age_us(), OldestAge));
+  }
+  return it;
+}
+
+} // namespace peridotfall::messages
--- a/src/target/http_target.cpp
+++ b/src/target/http_target.cpp
@@ -12,6 +12,9 @@
 constexpr int StatusOk = 200;
 constexpr int StatusConflict = 409;
 constexpr std::chrono::milliseconds ControlLimit{500};
+/// A frozen target must be noticed as fast as a dead one, so a probe is given
+/// up well before a primary is suspected.
+constexpr std::chrono::milliseconds StatusLimit{400};
 constexpr std::chrono::milliseconds ConnectWait{2'000};
 
 using ChannelPtr = std::shared_ptr<http::Channel>;
@@ -107,7 +110,7 @@
 Control makeControl(const ChannelPtr &channel) {
   Control it;
   it.GetStatus = [channel](OnStatus done) {
-    callControl(channel, StatusPath, Json::object(), ControlLimit,
+    callControl(channel, StatusPath, Json::object(), StatusLimit,
                 std::move(done));
   };
   it.AwaitPosition = [channel](Term term, Position position,
