--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -28,7 +28,7 @@
 DEFINE_bool(plain_text, false,
             "listen without TLS on an address that is not loopback");
 DEFINE_uint32(threads, 2, "event loops, one a thread");
-DEFINE_uint32(probe_ms, 200, "milliseconds between probes of a target");
+DEFINE_uint32(probe_ms, 150, "milliseconds between probes of a target");
 DEFINE_uint32(shutdown_ms, 10000, "longest wait for requests in flight");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -28,7 +28,7 @@
   http::TlsFiles InnerTls;
   bool PlainText = false; ///< Said outright; else only on loopback.
   std::uint32_t Threads = 2;
-  std::uint32_t ProbeMs = 200;
+  std::uint32_t ProbeMs = 150;
 
   auto operator<=>(const DaemonSettings &) const = default;
 };
@@ -43,7 +43,7 @@
   http::TlsFiles CallerTls; ///< Empty: plain text.
   http::TlsFiles InnerTls;  ///< Empty: plain text. Else mutual.
   unsigned Threads = 2;
-  std::chrono::milliseconds ProbeInterval{200};
+  std::chrono::milliseconds ProbeInterval{150};
 
   auto operator<=>(const DaemonOptions &) const = default;
 };
