Answer at once what a frozen primary still holds

Cause: after a change of primary the statements in flight on a frozen old one waited for their whole deadline, and an owner that had not read the group's object yet had no term for 4 s.

Change: the connections to a target that misses probes and does not lead are closed, at the change and with each further miss; an owner reads the object half a second a rank after it lacks it. Ruled out: closing the connections of an old primary that answers probes, whose own 'fenced' says not run where a lost answer leaves it unknown.

--- a/src/daemon/failover_calls.cpp
+++ b/src/daemon/failover_calls.cpp
@@ -17,6 +17,8 @@
 
 /// Longest wait for another owner's view; a later one would be old.
 constexpr std::chrono::milliseconds PeerLimit{300};
+/// One lost probe must not cost a replica the reads that run on it.
+constexpr unsigned MissesToDisconnect = 2;
 
 const std::string &addressOf(const DatabaseConfig &database,
                              const TargetName &target) {
@@ -57,8 +59,9 @@
     self->took(group, it.Target, status);
     auto now = self->Time.now();
     self->run(group, [&](failover::GroupState &state) {
-      bool lost = !status;
-      if (std::exchange(group->Lost[it.Target], lost) != lost && lost)
+      auto &missed = group->Missed[it.Target];
+      missed = status ? 0 : missed + 1;
+      if (missed == 1)
         telemetry::log(Event::TargetLost,
                        {field("database", state.Database.Value),
                         field("target", it.Target.Value),
@@ -69,6 +72,9 @@
                                       now)
                  : failover::onUnreachable(state, it.Target, now);
     });
+    // Again and again: an entry that has not heard yet opens new ones.
+    if (!status)
+      self->disconnectLost(group, MissesToDisconnect);
   };
   Apis.get(addressOf(group->Config, it.Target))->Calls.GetStatus(done);
 }
@@ -208,6 +214,28 @@
                  {field("database", group->Config.Name.Value),
                   field("primary", it.Primary.Value),
                   field("term", it.InTerm)});
+  disconnectLost(group, 1);
+}
+
+/// Failure: the old primary froze with statements in flight. Symptom: their
+/// callers wait for their whole deadline, long after the new primary serves.
+/// Nothing it says can be confirmed any more, so its connections are closed
+/// and each statement is answered as lost at once; with a key it then runs on
+/// the new primary. One that still answers probes keeps its connections: its
+/// own "fenced" says more than a lost answer.
+void FailoverDriver::disconnectLost(const GroupPtr &group, unsigned missed) {
+  std::vector<TargetName> lost;
+  {
+    std::lock_guard guard(group->Lock);
+    for (const auto &[name, n] : group->Missed)
+      if (n >= missed && name != group->State.Primary)
+        lost.push_back(name);
+  }
+  for (const auto &name : lost) {
+    auto api = Apis.get(addressOf(group->Config, name));
+    if (api->Disconnect)
+      api->Disconnect();
+  }
 }
 
 void FailoverDriver::perform(const GroupPtr &group,
--- a/src/daemon/failover_driver.h
+++ b/src/daemon/failover_driver.h
@@ -47,7 +47,7 @@
     std::mutex Lock;
     failover::GroupState State;
     const DatabaseConfig Config;
-    std::map<TargetName, bool> Lost;
+    std::map<TargetName, unsigned> Missed; ///< Probes in a row.
   };
   using GroupPtr = std::shared_ptr<Group>;
   using Step = std::function<failover::Actions(failover::GroupState &)>;
@@ -78,6 +78,9 @@
   void perform(const GroupPtr &group, const failover::TermsExhausted &it);
   void took(const GroupPtr &group, const TargetName &target,
             const Result<target::Status> &status);
+  /// Closes the connections of targets that missed so many probes and do not
+  /// lead.
+  void disconnectLost(const GroupPtr &group, unsigned missed);
   void readObject(const GroupPtr &group, const Result<platform::Object> &it);
 
   asio::steady_timer Timer;
--- a/src/failover/publication.cpp
+++ b/src/failover/publication.cpp
@@ -18,7 +18,7 @@
 /// A call without an answer for this long is given up and read back.
 constexpr milliseconds CallLimit{3'000};
 /// Ranks above 0 publish only what the ones below have left undone.
-constexpr milliseconds RankWait{2'000};
+constexpr milliseconds RankWait{500};
 
 std::size_t termsLeft(const GroupState &group) {
   auto above = highestTerm(group);
--- a/src/target/http_target.cpp
+++ b/src/target/http_target.cpp
@@ -3,7 +3,9 @@
 #include "target/wire.h"
 
 #include <algorithm>
+#include <mutex>
 #include <utility>
+#include <vector>
 
 namespace peridotfall::target {
 
@@ -87,12 +89,37 @@
   return std::make_shared<const Connection>(std::move(it));
 }
 
+/// The connections of one target, so that they can be closed together.
+class Connections {
+public:
+  void add(const ChannelPtr &channel) {
+    std::lock_guard guard(Lock);
+    std::erase_if(Open, [](const auto &it) { return it.expired(); });
+    Open.push_back(channel);
+  }
+  void closeAll() {
+    std::vector<std::weak_ptr<http::Channel>> open;
+    {
+      std::lock_guard guard(Lock);
+      open = std::exchange(Open, {});
+    }
+    for (const auto &it : open)
+      if (auto channel = it.lock())
+        channel->close();
+  }
+
+private:
+  std::mutex Lock;
+  std::vector<std::weak_ptr<http::Channel>> Open;
+};
+
 void connect(asio::io_context &loop, const std::string &address,
-             OnConnection done) {
+             Connections &connections, OnConnection done) {
   http::ChannelOptions options;
   // A transaction lives and dies with its connection.
   options.Reconnect = false;
   auto channel = std::make_shared<http::Channel>(loop, address, options);
+  connections.add(channel);
   channel->call(
       post(ConnectPath, Json::object()), ConnectWait,
       [channel, done = std::move(done)](const http::CallResult &result) {
@@ -142,9 +169,11 @@
   Api api;
   api.Calls = makeControl(
       std::make_shared<http::Channel>(loop, address, http::ChannelOptions{}));
-  api.Connect = [&loop, address](OnConnection done) {
-    connect(loop, address, std::move(done));
+  auto connections = std::make_shared<Connections>();
+  api.Connect = [&loop, address, connections](OnConnection done) {
+    connect(loop, address, *connections, std::move(done));
   };
+  api.Disconnect = [connections] { connections->closeAll(); };
   return api;
 }
 
--- a/src/target/target.h
+++ b/src/target/target.h
@@ -68,6 +68,9 @@
 struct Api {
   Control Calls;
   std::function<void(OnConnection)> Connect;
+  /// Closes all connections; statements in flight end as lost at once. May be
+  /// null: then they end at their own limits.
+  std::function<void()> Disconnect;
 };
 
 } // namespace peridotfall::target
