Decide admission and placement under load, in virtual time

Why: with 2 or 3 slots a target, what is admitted, queued, refused and placed decides whether a confirmation is late. The owner had a plain FIFO queue and placement took the first replica of the list.

--- /dev/null
+++ b/tests/placement/placement_test.cpp
@@ -0,0 +1,176 @@
+#include "peridotfall/placement.h"
+#include "peridotfall/retry_budget.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridotfall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A primary in the next failure domain, a replica here and one over the link.
+struct PlacementFixture {
+  ManualClock Time;
+  Placement Reads{1};
+  Candidate Primary{TargetName("depot"),  true, true, false,
+                    Distance::SameRegion, {},   {}};
+  Candidate Here{TargetName("press"),  false, true, false,
+                 Distance::SameDomain, {},    {}};
+  Candidate Far{TargetName("desk"),    false, true, false,
+                Distance::OtherRegion, {},    {}};
+  bool LinkOpen = true;
+
+  Choice choose(const ReadDemand &it) {
+    return Reads.choose(it, {Primary, Here, Far}, LinkOpen, Time.now());
+  }
+  ReadDemand stale(Duration maxAge) const {
+    return {Access::StaleRead, {}, maxAge, false, {}};
+  }
+  ReadDemand fresh(Position notBefore) const {
+    return {Access::FreshRead, notBefore, {}, false, {}};
+  }
+  void answer(const Candidate &from, Duration ran, Duration wait = {}) {
+    AnswerReport it;
+    it.Target = from.Name;
+    it.FromPrimary = from.IsPrimary;
+    it.Ran = ran;
+    it.Wait = wait;
+    it.Mode = Access::StaleRead;
+    Reads.started(from.Name);
+    Reads.answered(it, 2, Time.now());
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "stale read, all replicas well, goes to the own domain") {
+  CHECK(choose(stale(seconds(5))).Target.Value == "press");
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "stale read, replica older than allowed, goes elsewhere") {
+  Here.Age = seconds(6);
+  auto it = choose(stale(seconds(5)));
+  CHECK(it.Target.Value == "desk");
+  CHECK(it.OverLink);
+  Far.Age = seconds(6);
+  CHECK(choose(stale(seconds(5))).Target.Value == "depot");
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "fresh read, replica about to catch up, waits a little") {
+  Here.Age = milliseconds(20);
+  Reads.noteHead({1, 8}, Time.now());
+  Time.advance(milliseconds(10));
+  auto it = choose(fresh({1, 8}));
+  CHECK(it.Target.Value == "press");
+  CHECK((it.WaitBefore == milliseconds(10)));
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "fresh read, replicas far behind, goes to the primary") {
+  Here.Age = seconds(3);
+  Far.Age = seconds(3);
+  Reads.noteHead({1, 8}, Time.now());
+  CHECK(choose(fresh({1, 8})).Target.Value == "depot");
+  // Three seconds later the replicas show what the session wrote.
+  Time.advance(seconds(4));
+  CHECK(choose(fresh({1, 8})).Target.Value == "press");
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "read of a session in doubt goes to the primary only") {
+  auto it = fresh({});
+  it.PrimaryOnly = true;
+  CHECK(choose(it).Target.Value == "depot");
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "slow replica is ejected and comes back by degrees") {
+  // A replica needs ten times what the others need. Reads go elsewhere within
+  // about a dozen answers; later it takes a few, then its full share.
+  for (int n = 0; n < 40; ++n) {
+    answer(Here, milliseconds(4));
+    answer(Far, milliseconds(4));
+  }
+  for (int n = 0; n < 40 && !Reads.ejected(Here.Name, Time.now()); ++n)
+    answer(Here, milliseconds(40));
+  CHECK(Reads.ejected(Here.Name, Time.now()));
+  CHECK(choose(stale(seconds(5))).Target.Value != "press");
+  Time.advance(limits::FirstEjection + milliseconds(100));
+  int early = 0;
+  for (int n = 0; n < 100; ++n)
+    early += choose(stale(seconds(5))).Target.Value == "press";
+  CHECK(early > 0);
+  CHECK(early < 30);
+  Time.advance(limits::RampUp);
+  CHECK(choose(stale(seconds(5))).Target.Value == "press");
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "both replicas failing, one only is ejected") {
+  AnswerReport lost;
+  lost.Code = AnswerCode::Unavailable;
+  lost.Mode = Access::StaleRead;
+  for (const auto &it : {Here, Far})
+    for (int n = 0; n < 10; ++n) {
+      lost.Target = it.Name;
+      Reads.answered(lost, 2, Time.now());
+    }
+  int out = Reads.ejected(Here.Name, Time.now()) +
+            Reads.ejected(Far.Name, Time.now());
+  CHECK(out == 1);
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "link budget spent, replica over the link is left alone") {
+  Here.Reachable = false;
+  CHECK(choose(stale(seconds(5))).OverLink);
+  LinkOpen = false;
+  CHECK(choose(stale(seconds(5))).Target.Value == "depot");
+  // With no other target the read is still served.
+  Primary.Reachable = false;
+  CHECK(choose(stale(seconds(5))).Target.Value == "desk");
+}
+
+TEST_CASE("link budget, spent, opens again and counts every byte") {
+  ManualClock time;
+  LinkBudget it;
+  CHECK(it.mayUse(time.now()));
+  it.count(static_cast<std::size_t>(limits::LinkBurstBytes) + 1, time.now());
+  CHECK_FALSE(it.mayUse(time.now()));
+  time.advance(seconds(1));
+  CHECK(it.mayUse(time.now()));
+  CHECK(it.total() == static_cast<std::uint64_t>(limits::LinkBurstBytes) + 1);
+}
+
+TEST_CASE("retry budget, everything fails, adds a fifth to the load at most") {
+  // A database fails for a minute while 1,000 requests a second come in.
+  // Retries stay a small part of the load instead of multiplying it.
+  ManualClock time;
+  RetryBudget it;
+  int retries = 0;
+  constexpr int Requests = 60'000;
+  for (int n = 0; n < Requests; ++n) {
+    it.earn(time.now());
+    while (it.spend(time.now()))
+      ++retries;
+    time.advance(milliseconds(1));
+  }
+  CHECK(retries < Requests * 0.25);
+  CHECK(retries > Requests * 0.15);
+}
+
+TEST_CASE("retry budget, a quiet database, rides over a failover") {
+  ManualClock time;
+  RetryBudget it;
+  it.earn(time.now());
+  int retries = 0;
+  for (int n = 0; n < 60; ++n) {
+    retries += it.spend(time.now());
+    time.advance(milliseconds(100));
+  }
+  CHECK(retries == 60);
+}
