Guard the calls on the platform with a budget and settle lost answers

Cause: the adapter passed a lost answer on as it was. A writer that sends again then meets its own version and takes it for another's change, and nothing kept 1,700 daemons from using the platform up.

Ruled out: a log of accepted identifiers inside each value. It would also settle a change that was replaced before it was read back, but it grows every value; that case is answered as unknown.

--- /dev/null
+++ b/src/platform/backoff.cpp
@@ -0,0 +1,29 @@
+#include "platform/backoff.h"
+
+#include <algorithm>
+
+namespace peridotfall::platform {
+
+Duration Backoff::failed() {
+  constexpr unsigned MostDoublings = 20;
+  auto doublings = std::min(Failures++, MostDoublings);
+  auto delay = std::min(Options.Longest,
+                        Options.First * (Duration::rep(1) << doublings));
+  std::uniform_int_distribution<Duration::rep> upperHalf(delay.count() / 2,
+                                                         delay.count());
+  return Duration(upperHalf(Random));
+}
+
+bool CallBudget::take(TimePoint now) {
+  if (now > At) {
+    auto passed = std::chrono::duration<double>(now - At).count();
+    Tokens = std::min(Burst, Tokens + passed * PerSecond);
+    At = now;
+  }
+  if (Tokens < 1)
+    return false;
+  Tokens -= 1;
+  return true;
+}
+
+} // namespace peridotfall::platform
