Decide who is alive by incarnations, probes and two reporters

Cause: the daemons believed the platform's list, which lags: a dead daemon went on owning targets, and a VM replaced on an old address could be taken for its forerunner.

Ruled out: all daemons probing all (2.9 million probes a second at 1,700); believing a single reporter (one broken link moves all ownership); leases at the platform (its writes grow with the fleet).

Change: Membership, a state machine without input and output.

--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,316 @@
+#include "peridotfall/membership.h"
+#include "membership/stable_hash.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace peridotfall {
+
+namespace {
+
+/// \return the successors of \p self on the ring of hashed names.
+void addSuccessors(std::vector<std::pair<std::uint64_t, VmName>> ring,
+                   const VmName &self, std::size_t count,
+                   std::set<VmName> &out) {
+  std::sort(ring.begin(), ring.end());
+  auto it = std::find_if(ring.begin(), ring.end(),
+                         [&](const auto &n) { return n.second == self; });
+  if (it == ring.end())
+    return;
+  auto at = static_cast<std::size_t>(it - ring.begin());
+  for (std::size_t n = 1; n < ring.size() && count > 0; ++n) {
+    const auto &vm = ring[(at + n) % ring.size()].second;
+    if (out.insert(vm).second)
+      --count;
+  }
+}
+
+} // namespace
+
+Membership::Membership(Member self, MembershipOptions options,
+                       std::uint64_t seed)
+    : Options(options), Random(seed), Self(self.Vm) {
+  Entries[Self].Record.It = std::move(self);
+}
+
+bool Membership::suspected(const MemberRecord &it) const {
+  return it.It.Vm != Self &&
+         (it.Suspecting.count(Self) != 0 ||
+          it.Suspecting.size() >= Options.ReportersToSuspect);
+}
+
+Membership::Entry *Membership::find(const VmName &vm) {
+  auto it = Entries.find(vm);
+  return it == Entries.end() ? nullptr : &it->second;
+}
+
+void Membership::changed(Entry &it, TimePoint now) {
+  it.ChangedAt = now;
+  ++Generation;
+}
+
+void Membership::observed(Entry &it, TimePoint now) {
+  changed(it, now);
+  Observed.push_back(it.Record);
+}
+
+Member Membership::effective(const Entry &it) {
+  auto member = it.Record.It;
+  member.Leaving |= it.ListLeaving;
+  return member;
+}
+
+void Membership::takeListed(Entry &entry, const Member &listed, TimePoint now) {
+  auto before = effective(entry);
+  entry.ListLeaving = listed.Leaving;
+  auto &known = entry.Record.It;
+  if (known.Vm != Self) {
+    // An address that is new in the list is a VM replaced; else what the
+    // daemon says of itself is newer than the list.
+    bool moved = listed.InnerAddress != entry.ListAddress;
+    entry.ListAddress = listed.InnerAddress;
+    auto next = listed;
+    next.Incarnation = known.Incarnation;
+    next.Leaving = known.Leaving;
+    if (!moved && known.Incarnation != 0)
+      next.InnerAddress = known.InnerAddress;
+    known = next;
+  }
+  if (effective(entry) != before)
+    changed(entry, now);
+}
+
+void Membership::takeList(const std::vector<Member> &list, TimePoint now) {
+  std::set<VmName> listed{Self};
+  for (const auto &it : list) {
+    listed.insert(it.Vm);
+    auto *entry = find(it.Vm);
+    if (!entry) {
+      entry = &Entries[it.Vm];
+      entry->Record.It = it;
+      entry->Record.It.Leaving = false;
+      entry->FirstHeard = now;
+      changed(*entry, now);
+    }
+    takeListed(*entry, it, now);
+  }
+  for (auto it = Entries.begin(); it != Entries.end();) {
+    bool drop = listed.count(it->first) == 0 &&
+                now - it->second.FirstHeard > Options.ListLag;
+    if (drop)
+      ++Generation;
+    it = drop ? Entries.erase(it) : std::next(it);
+  }
+}
+
+std::set<VmName> Membership::neighbours() {
+  if (NeighboursOf == Generation)
+    return Neighbours;
+  NeighboursOf = Generation;
+  Neighbours.clear();
+  auto domain = Entries[Self].Record.It.Domain;
+  std::vector<std::pair<std::uint64_t, VmName>> all;
+  std::vector<std::pair<std::uint64_t, VmName>> own;
+  for (const auto &[vm, it] : Entries) {
+    // A suspected one is left to the comparisons: else its prober would keep
+    // probing it and leave the next live one to nobody.
+    bool skip = suspected(it.Record) && Entries.size() > Options.SmallFleet;
+    if (it.Record.It.ServesTarget || skip)
+      continue;
+    all.emplace_back(stableHash(vm.Value, "ring"), vm);
+    if (it.Record.It.Domain == domain)
+      own.push_back(all.back());
+  }
+  auto rest =
+      all.size() <= Options.SmallFleet ? all.size() : Options.FleetNeighbours;
+  addSuccessors(std::move(own), Self, Options.DomainNeighbours, Neighbours);
+  addSuccessors(std::move(all), Self, rest, Neighbours);
+  return Neighbours;
+}
+
+std::vector<Member> Membership::probesDue(TimePoint now) {
+  std::vector<Member> due;
+  auto add = [&](Entry &it) {
+    if (it.InFlight || it.Record.It.ServesTarget)
+      return;
+    it.InFlight = true;
+    it.NextProbe = now + Options.ProbePeriod;
+    due.push_back(it.Record.It);
+  };
+  for (const auto &vm : neighbours()) {
+    auto *it = find(vm);
+    if (it && it->NextProbe <= now)
+      add(*it);
+  }
+  // A random member, suspected or not: a healed cut is noticed by it.
+  if (now >= NextCompare && Entries.size() > 1) {
+    NextCompare = now + Options.ComparePeriod;
+    std::uniform_int_distribution<std::size_t> pick(0, Entries.size() - 1);
+    auto it = std::next(Entries.begin(), static_cast<long>(pick(Random)));
+    if (it->first == Self)
+      it = std::next(it) == Entries.end() ? Entries.begin() : std::next(it);
+    add(it->second);
+  }
+  return due;
+}
+
+void Membership::takeAnswer(const Member &asked, const MemberRecord &answered,
+                            TimePoint now) {
+  // Failure: a VM was replaced and another daemon listens on its address.
+  // Symptom: its owner seems alive, and work is sent to one that holds
+  // nothing of it. The name and incarnation in the answer tell them apart.
+  if (answered.It.Vm != asked.Vm) {
+    takeMiss(asked, now);
+    takeContact(answered, now);
+    return;
+  }
+  if (auto *it = find(asked.Vm))
+    it->InFlight = false;
+  takeContact(answered, now);
+}
+
+void Membership::takeContact(const MemberRecord &from, TimePoint now) {
+  if (from.It.Vm == Self)
+    return;
+  auto *it = find(from.It.Vm);
+  // A late answer of a forerunner says nothing of who runs there now.
+  if (it && from.It.Incarnation < it->Record.It.Incarnation)
+    return;
+  auto told = from;
+  told.Suspecting.clear();
+  merge(told, now);
+  it = find(from.It.Vm);
+  it->Misses = 0;
+  if (it->Record.Suspecting.erase(Self) != 0)
+    changed(*it, now);
+}
+
+void Membership::takeMiss(const Member &asked, TimePoint now) {
+  auto *it = find(asked.Vm);
+  if (!it)
+    return;
+  it->InFlight = false;
+  it->NextProbe = now + Options.RetryPause;
+  if (it->Record.It.Incarnation != asked.Incarnation)
+    return;
+  if (++it->Misses < Options.MissesToSuspect)
+    return;
+  if (it->Record.Suspecting.insert(Self).second)
+    observed(*it, now);
+}
+
+void Membership::takeNews(const std::vector<MemberRecord> &records,
+                          TimePoint now) {
+  for (const auto &it : records) {
+    if (it.It.Vm != Self)
+      merge(it, now);
+    else if (it.It.Incarnation == Entries[Self].Record.It.Incarnation &&
+             !it.Suspecting.empty())
+      refute(it.Version, now);
+  }
+}
+
+void Membership::refute(std::uint64_t version, TimePoint now) {
+  auto &own = Entries[Self];
+  if (version < own.Record.Version)
+    return;
+  own.Record.Version = version + 1;
+  observed(own, now);
+}
+
+void Membership::merge(const MemberRecord &record, TimePoint now) {
+  auto &entry = Entries[record.It.Vm];
+  auto &known = entry.Record;
+  auto address = known.It.InnerAddress;
+  bool isNew = known.It.Vm.empty();
+  auto rank = std::pair(known.It.Incarnation, known.Version);
+  auto next = std::pair(record.It.Incarnation, record.Version);
+  if (isNew || next > rank) {
+    if (isNew)
+      entry.FirstHeard = now;
+    if (known.It.Incarnation != record.It.Incarnation)
+      entry.Misses = 0;
+    known = record;
+    if (known.It.InnerAddress.empty())
+      known.It.InnerAddress = address;
+    // Only an own probe tells whether this daemon reaches it.
+    known.Suspecting.erase(Self);
+    changed(entry, now);
+    return;
+  }
+  if (next < rank)
+    return;
+  auto before = known;
+  for (const auto &it : record.Suspecting)
+    if (it != Self)
+      known.Suspecting.insert(it);
+  known.It.Leaving |= record.It.Leaving;
+  if (known != before)
+    changed(entry, now);
+}
+
+void Membership::leave(TimePoint now) {
+  auto &own = Entries[Self];
+  if (own.Record.It.Leaving)
+    return;
+  own.Record.It.Leaving = true;
+  ++own.Record.Version;
+  observed(own, now);
+}
+
+void Membership::setOwnAddress(std::string address) {
+  Entries[Self].Record.It.InnerAddress = std::move(address);
+  ++Generation;
+}
+
+std::vector<Member> Membership::live() const {
+  std::vector<Member> out;
+  for (const auto &[vm, it] : Entries)
+    if (!it.Record.It.ServesTarget && !suspected(it.Record))
+      out.push_back(effective(it));
+  return out;
+}
+
+std::vector<Member> Membership::known() const {
+  std::vector<Member> out;
+  for (const auto &[vm, it] : Entries)
+    out.push_back(effective(it));
+  return out;
+}
+
+MemberRecord Membership::self() const { return Entries.at(Self).Record; }
+
+bool Membership::isSuspected(const VmName &vm) const {
+  auto it = Entries.find(vm);
+  return it != Entries.end() && suspected(it->second.Record);
+}
+
+std::vector<MemberRecord> Membership::recent(TimePoint now,
+                                             std::size_t most) const {
+  std::vector<const Entry *> found;
+  for (const auto &[vm, it] : Entries)
+    if (it.Record.It.Incarnation != 0 && now - it.ChangedAt < Options.NewsAge)
+      found.push_back(&it);
+  std::sort(found.begin(), found.end(), [](const Entry *a, const Entry *b) {
+    return std::tie(b->ChangedAt, a->Record) <
+           std::tie(a->ChangedAt, b->Record);
+  });
+  std::vector<MemberRecord> out;
+  for (std::size_t n = 0; n < std::min(most, found.size()); ++n)
+    out.push_back(found[n]->Record);
+  return out;
+}
+
+std::vector<MemberRecord> Membership::about(const VmName &vm) const {
+  auto it = Entries.find(vm);
+  if (it == Entries.end() || it->second.Record.Suspecting.empty())
+    return {};
+  return {it->second.Record};
+}
+
+std::vector<MemberRecord> Membership::takeObserved() {
+  return std::exchange(Observed, {});
+}
+
+} // namespace peridotfall
--- /dev/null
+++ b/tests/membership/membership_test.cpp
@@ -0,0 +1,200 @@
+#include "peridotfall/membership.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace peridotfall;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct MembershipFixture {
+  ManualClock Time;
+  Membership View{daemon("vm-1", 1), {}, 1};
+
+  static Member daemon(const std::string &vm, std::uint64_t incarnation = 0) {
+    return {VmName(vm), DomainName("d"), RegionName("r"),
+            vm + ":1",  incarnation,     false,
+            false};
+  }
+
+  static MemberRecord record(const std::string &vm, std::uint64_t incarnation,
+                             std::uint64_t version = 0,
+                             std::set<VmName> suspecting = {}) {
+    return {daemon(vm, incarnation), version, std::move(suspecting)};
+  }
+
+  void list(const std::vector<std::string> &vms) {
+    std::vector<Member> members;
+    for (const auto &it : vms)
+      members.push_back(daemon(it));
+    View.takeList(members, Time.now());
+  }
+
+  bool isLive(const std::string &vm) const {
+    auto all = View.live();
+    return std::any_of(all.begin(), all.end(),
+                       [&](const Member &it) { return it.Vm.Value == vm; });
+  }
+
+  bool ownsAnything(const std::string &vm) const {
+    for (int n = 0; n < 100; ++n)
+      if (rankOwners(View.live(), TargetName(std::to_string(n)),
+                     DomainName("d"), RegionName("r"))
+              .front()
+              .Vm.Value == vm)
+        return true;
+    return false;
+  }
+
+  /// Probes for so long; the named VMs answer with these incarnations.
+  void run(Duration length,
+           const std::map<std::string, MemberRecord> &answers) {
+    for (auto end = Time.now() + length; Time.now() < end; Time.advance(100ms))
+      for (const auto &it : View.probesDue(Time.now())) {
+        auto found = answers.find(it.InnerAddress);
+        if (found == answers.end())
+          View.takeMiss(it, Time.now());
+        else
+          View.takeAnswer(it, found->second, Time.now());
+      }
+  }
+};
+
+} // namespace
+
+// A daemon dies; the platform's list still names it. Its owner's targets
+// would get no work until the list catches up, which may be half a minute.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, listed daemon silent, owns nothing") {
+  list({"vm-1", "vm-2", "vm-3"});
+  CHECK(ownsAnything("vm-2"));
+  run(3s, {{"vm-3:1", record("vm-3", 5)}});
+  CHECK_FALSE(isLive("vm-2"));
+  CHECK_FALSE(ownsAnything("vm-2"));
+  CHECK(isLive("vm-3"));
+  REQUIRE(View.takeObserved().size() == 1);
+}
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, one probe lost, suspects nobody") {
+  list({"vm-1", "vm-2"});
+  run(100ms, {});
+  run(3s, {{"vm-2:1", record("vm-2", 5)}});
+  CHECK(View.takeObserved().empty());
+  CHECK(isLive("vm-2"));
+}
+
+// vm-2 was replaced: vm-9 now listens on its address and answers its probes.
+// Without looking at the name, vm-2 would count as alive for ever.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, address taken by another VM, tells them apart") {
+  list({"vm-1", "vm-2"});
+  run(3s, {{"vm-2:1", record("vm-9", 7)}});
+  CHECK_FALSE(isLive("vm-2"));
+  CHECK(isLive("vm-9"));
+}
+
+// A suspected VM is replaced under its own name. A late answer and a late
+// suspicion of the forerunner must not count against its successor.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, VM replaced under its name, starts afresh") {
+  list({"vm-1", "vm-2"});
+  View.takeContact(record("vm-2", 5, 3), Time.now());
+  View.takeNews({record("vm-2", 5, 3, {VmName("a"), VmName("b")})}, Time.now());
+  CHECK_FALSE(isLive("vm-2"));
+  View.takeContact(record("vm-2", 6), Time.now());
+  CHECK(isLive("vm-2"));
+  View.takeNews({record("vm-2", 5, 9, {VmName("a"), VmName("b")})}, Time.now());
+  View.takeMiss(daemon("vm-2", 5), Time.now());
+  View.takeMiss(daemon("vm-2", 5), Time.now());
+  CHECK(isLive("vm-2"));
+}
+
+// One daemon with a broken link reports the whole fleet as lost.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, a single reporter, moves no ownership") {
+  list({"vm-1", "vm-2", "vm-3"});
+  View.takeNews({record("vm-2", 0, 0, {VmName("vm-3")})}, Time.now());
+  CHECK(isLive("vm-2"));
+  View.takeNews({record("vm-2", 0, 0, {VmName("vm-4")})}, Time.now());
+  CHECK_FALSE(isLive("vm-2"));
+}
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, itself suspected, refutes by a new version") {
+  View.takeNews({record("vm-1", 1, 0, {VmName("a"), VmName("b")})}, Time.now());
+  auto told = View.takeObserved();
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].Version == 1);
+  Membership other(daemon("vm-2", 1), {}, 2);
+  other.takeNews({record("vm-1", 1, 0, {VmName("a"), VmName("b")})},
+                 Time.now());
+  CHECK(other.isSuspected(VmName("vm-1")));
+  other.takeNews(told, Time.now());
+  CHECK_FALSE(other.isSuspected(VmName("vm-1")));
+}
+
+// A paused daemon was suspected by this one, and wakes. Others still repeat
+// this daemon's old suspicion, which must not come back as its own.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, contact after a suspicion, holds it alive") {
+  list({"vm-1", "vm-2"});
+  run(3s, {});
+  CHECK_FALSE(isLive("vm-2"));
+  View.takeContact(record("vm-2", 0), Time.now());
+  CHECK(isLive("vm-2"));
+  View.takeNews({record("vm-2", 0, 0, {VmName("vm-1")})}, Time.now());
+  CHECK(isLive("vm-2"));
+}
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, a daemon leaving, owns nothing and is live") {
+  list({"vm-1", "vm-2"});
+  auto told = record("vm-2", 5, 1);
+  told.It.Leaving = true;
+  View.takeContact(told, Time.now());
+  CHECK(isLive("vm-2"));
+  CHECK_FALSE(ownsAnything("vm-2"));
+}
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, the list says leaving, outlasts the daemon's "
+                  "own word") {
+  auto leaving = daemon("vm-2");
+  leaving.Leaving = true;
+  View.takeList({leaving}, Time.now());
+  View.takeContact(record("vm-2", 5, 1), Time.now());
+  CHECK_FALSE(ownsAnything("vm-2"));
+}
+
+// The list lags: a daemon just heard of is not in it yet, one long gone from
+// the platform is.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, the list lags, keeps whom it heard of lately") {
+  View.takeContact(record("vm-5", 5), Time.now());
+  list({"vm-1"});
+  CHECK(isLive("vm-5"));
+  Time.advance(31s);
+  list({"vm-1"});
+  CHECK_FALSE(isLive("vm-5"));
+}
+
+// 1,700 daemons: what one probes a second stays what it is for ten.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, 1,700 members, probes a few") {
+  std::vector<Member> all;
+  for (int n = 1; n <= 1'700; ++n) {
+    auto it = daemon("vm-" + std::to_string(n));
+    it.Domain = DomainName("d" + std::to_string(n % 7));
+    all.push_back(it);
+  }
+  View.takeList(all, Time.now());
+  std::size_t probes = 0;
+  for (int n = 0; n < 100; ++n, Time.advance(100ms))
+    for (const auto &it : View.probesDue(Time.now())) {
+      ++probes;
+      View.takeAnswer(it, {it, 0, {}}, Time.now());
+    }
+  CHECK(probes <= 10 * 4);
+}
