Make the catalogue of events from the list in code

Cause: operators read event numbers in the log and had no page for them; a page kept by hand falls behind the list.

Ruled out: a script that reads events.def as text, since the macro's strings are C++ and the compiler already reads them.

Change: eventsPage() makes docs/EVENTS.md; scripts/check-docs.sh writes or checks it; a test compares the committed page with the list, and checks that numbers are unique and that a warning or an error says what to do.

Conclusion: a new event needs a line in events.def and one run of the script.

--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -73,6 +73,8 @@
   return std::nullopt;
 }
 
+std::string_view toString(Level it) { return LevelNames[static_cast<int>(it)]; }
+
 void log(Event event, std::initializer_list<Field> fields) {
   const auto &info = infoOf(event);
   if (info.Severity < LeastLevel.load())
@@ -80,11 +82,10 @@
   auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   auto millis = now.time_since_epoch().count() % 1000;
-  auto line =
-      fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event=PF{} msg={}",
-                  fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-                  millis, LevelNames[static_cast<int>(info.Severity)],
-                  info.Number, quoted(std::string(info.Name)));
+  auto line = fmt::format(
+      "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event=PF{} msg={}",
+      fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis,
+      toString(info.Severity), info.Number, quoted(std::string(info.Name)));
   for (const auto &it : fields)
     line += fmt::format(" {}={}", it.Name, quoted(it.Value));
   line += '\n';
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -41,6 +41,7 @@
 /// Events below this level are not written.
 void setLevel(Level least);
 std::optional<Level> parseLevel(std::string_view text);
+std::string_view toString(Level it);
 
 struct Field {
   std::string_view Name;
--- /dev/null
+++ b/tests/telemetry/events_test.cpp
@@ -0,0 +1,47 @@
+#include "telemetry/events.h"
+#include "telemetry/events_page.h"
+
+#include <doctest/doctest.h>
+#include <fstream>
+#include <iterator>
+#include <set>
+
+using namespace peridotfall::telemetry;
+
+TEST_CASE("Events: all of the list, numbers are unique and have four digits") {
+  std::set<int> seen;
+  for (const auto &it : allEvents()) {
+    CAPTURE(it.Number);
+    CHECK(seen.insert(it.Number).second);
+    CHECK(it.Number >= 1'000);
+    CHECK(it.Number <= 9'999);
+    CHECK_FALSE(it.Meaning.empty());
+  }
+}
+
+TEST_CASE("Events: a warning or error, says what to do") {
+  for (const auto &it : allEvents()) {
+    CAPTURE(it.Number);
+    if (it.Severity >= Level::Warning)
+      CHECK_FALSE(it.Advice.empty());
+  }
+}
+
+TEST_CASE("Events: the committed page, is that of the list") {
+  std::ifstream in(PERIDOTFALL_SOURCE_DIR "/docs/EVENTS.md");
+  std::string page((std::istreambuf_iterator<char>(in)),
+                   std::istreambuf_iterator<char>());
+  // scripts/check-docs.sh --write writes the page.
+  CHECK(page == eventsPage());
+  for (const auto &it : allEvents())
+    CHECK(page.find(fmt::format("| PF{} |", it.Number)) != std::string::npos);
+}
+
+TEST_CASE("Events: looked up by number, the event or nothing") {
+  REQUIRE(findEvent("PF1001"));
+  CHECK(findEvent("PF1001")->Name == "started");
+  CHECK(findEvent("1001")->Number == 1'001);
+  CHECK_FALSE(findEvent("PF0"));
+  CHECK_FALSE(findEvent("PF1001x"));
+  CHECK_FALSE(findEvent(""));
+}
--- /dev/null
+++ b/tools/events_page.cpp
@@ -0,0 +1,10 @@
+// Prints docs/EVENTS.md.
+
+#include "telemetry/events_page.h"
+
+#include <iostream>
+
+int main() {
+  std::cout << peridotfall::telemetry::eventsPage();
+  return 0;
+}
