Count what a daemon does and serve it as metrics

Ruled out: prometheus-cpp's own exposer, as the daemon's HTTP/2 server is there already; counting broken invariants at each place by hand, since one could be forgotten: the log counts its events itself.

Change: a struct of handles (src/telemetry/metrics.h), a public Stats, GET /metrics on both addresses. Wired at the daemon's edge: outcomes, durations, refusals, replica share, confirmations as answered, bytes of bodies, platform calls by kind, revision, connections.

Conclusion: complete at the edge; the owner and the failover have their handles to fill.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include "platform/http_platform.h"
 #include "target/http_target.h"
 #include "telemetry/events.h"
+#include "telemetry/platform_calls.h"
 
 #include <thread>
 #include <utility>
@@ -13,13 +14,16 @@
 
 namespace {
 
+using telemetry::Direction;
 using telemetry::Event;
 using telemetry::field;
+using telemetry::Link;
 
 constexpr int StatusOk = 200;
 constexpr int StatusBad = 400;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
+constexpr auto MetricsPath = "/metrics";
 
 std::uint64_t startTime() {
   auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -49,8 +53,9 @@
                                       Views, Options.ProbeInterval)),
       Sync(std::make_shared<PlatformSync>(
           Loops.at(0),
-          platform::makeHttpPlatform(Loops.at(0),
-                                     {.Address = Options.Platform}),
+          telemetry::countCalls(platform::makeHttpPlatform(
+                                    Loops.at(0), {.Address = Options.Platform}),
+                                Counts),
           Config, Peers)) {
   http::ServerOptions callers;
   callers.Address = Options.ListenCallers;
@@ -115,11 +120,28 @@
   return {StatusOk, {}, "ready\n"};
 }
 
+Stats Daemon::stats() {
+  auto config = Config.get();
+  Counts.Revision->Set(config ? static_cast<double>(config->Revision) : 0);
+  Counts.CallerConnections->Set(static_cast<double>(Callers->connections()));
+  Counts.RequestsInFlight->Set(static_cast<double>(Serving.load()));
+  return telemetry::readStats(Counts);
+}
+
+http::Response Daemon::metricsText() {
+  stats();
+  return {StatusOk,
+          {{"content-type", "text/plain; version=0.0.4"}},
+          telemetry::writeText(Counts)};
+}
+
 void Daemon::serveCaller(http::Request request, const http::Respond &respond) {
   if (request.Path == "/healthz")
     respond({StatusOk, {}, "ok\n"});
   else if (request.Path == "/readyz")
     respond(readiness());
+  else if (request.Path == MetricsPath)
+    respond(metricsText());
   else
     serveStatement(request, respond);
 }
@@ -133,17 +155,25 @@
     return;
   }
   ++Serving;
+  telemetry::countBytes(Counts, Link::Callers, Direction::In,
+                        request.Body.size());
   const auto &in = parsed.value();
   auto entry = in.Session.Databases.find(in.Statement.Database);
   RoutedRequest routed{in.Statement,
                        entry == in.Session.Databases.end() ? SessionEntry{}
                                                            : entry->second,
                        request.Gone};
-  Routes->route(std::move(routed),
-                [this, in, respond](const StatementAnswer &answer) {
-                  respond(makeResponse(in, answer, Options.Keys));
-                  --Serving;
-                });
+  Routes->route(std::move(routed), [this, in, respond, begun = Time.now()](
+                                       const StatementAnswer &answer) {
+    auto view = Views.get(in.Statement.Database);
+    telemetry::countAnswer(Counts, in.Statement, answer, Time.now() - begun,
+                           answer.ServedBy != view.Primary);
+    auto out = makeResponse(in, answer, Options.Keys);
+    telemetry::countBytes(Counts, Link::Callers, Direction::Out,
+                          out.Body.size());
+    respond(std::move(out));
+    --Serving;
+  });
 }
 
 void Daemon::serveInner(const http::Request &request,
@@ -155,6 +185,10 @@
     respond({StatusOk, {}, messages::encode(info)});
     return;
   }
+  if (request.Path == MetricsPath) {
+    respond(metricsText());
+    return;
+  }
   if (request.Path != messages::StatementPath) {
     respond({StatusNotFound, {}, ""});
     return;
@@ -164,9 +198,14 @@
     respond({StatusBad, {}, ""});
     return;
   }
+  telemetry::countBytes(Counts, Link::Inner, Direction::In,
+                        request.Body.size());
   Local->execute(std::move(decoded.value()), request.Gone,
-                 [respond](const StatementAnswer &answer) {
-                   respond({StatusOk, {}, messages::encode(answer)});
+                 [this, respond](const StatementAnswer &answer) {
+                   auto body = messages::encode(answer);
+                   telemetry::countBytes(Counts, Link::Inner, Direction::Out,
+                                         body.size());
+                   respond({StatusOk, {}, std::move(body)});
                  });
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -16,6 +16,8 @@
 #include "http/loops.h"
 #include "http/server.h"
 #include "peridotfall/clock.h"
+#include "peridotfall/stats.h"
+#include "telemetry/metrics.h"
 
 #include <atomic>
 #include <memory>
@@ -37,8 +39,11 @@
 
   std::uint16_t callerPort() const { return Callers->port(); }
   std::uint16_t innerPort() const { return Inner->port(); }
+  /// What it has done so far.
+  Stats stats();
 
 private:
+  http::Response metricsText();
   void serveCaller(http::Request request, const http::Respond &respond);
   void serveStatement(const http::Request &request,
                       const http::Respond &respond);
@@ -47,6 +52,7 @@
 
   const DaemonOptions Options;
   SystemClock Time;
+  telemetry::Metrics Counts = telemetry::makeMetrics();
   http::Loops Loops;
   ConfigurationInForce Config;
   GroupViews Views;
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/events.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <charconv>
 #include <chrono>
@@ -13,6 +14,10 @@
 
 std::atomic<Level> LeastLevel{Level::Info};
 
+/// One count an event, in the order of the list; far above its length.
+constexpr std::size_t MostEvents = 256;
+std::array<std::atomic<std::uint64_t>, MostEvents> Counts{};
+
 constexpr std::string_view LevelNames[] = {"debug", "info", "warning", "error"};
 
 std::string quoted(const std::string &value) {
@@ -75,8 +80,18 @@
 
 std::string_view toString(Level it) { return LevelNames[static_cast<int>(it)]; }
 
+std::uint64_t countOf(const EventInfo &event) {
+  const auto &all = allEvents();
+  for (std::size_t n = 0; n < all.size(); ++n)
+    if (all[n].Number == event.Number)
+      return Counts[n % MostEvents].load();
+  return 0;
+}
+
 void log(Event event, std::initializer_list<Field> fields) {
   const auto &info = infoOf(event);
+  auto place = static_cast<std::size_t>(&info - allEvents().data());
+  ++Counts[place % MostEvents];
   if (info.Severity < LeastLevel.load())
     return;
   auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -5,6 +5,7 @@
 #ifndef PERIDOTFALL_TELEMETRY_EVENTS_H
 #define PERIDOTFALL_TELEMETRY_EVENTS_H
 
+#include <cstdint>
 #include <fmt/format.h>
 #include <initializer_list>
 #include <optional>
@@ -38,6 +39,9 @@
 /// \param name "PF1001" or "1001". \return nothing where there is no such.
 std::optional<EventInfo> findEvent(std::string_view name);
 
+/// \return how often it was logged, lines below the least level included.
+std::uint64_t countOf(const EventInfo &event);
+
 /// Events below this level are not written.
 void setLevel(Level least);
 std::optional<Level> parseLevel(std::string_view text);
--- a/tests/telemetry/events_test.cpp
+++ b/tests/telemetry/events_test.cpp
@@ -10,6 +10,7 @@
 
 TEST_CASE("Events: all of the list, numbers are unique and have four digits") {
   std::set<int> seen;
+  CHECK(allEvents().size() < 256); // As many as the log counts.
   for (const auto &it : allEvents()) {
     CAPTURE(it.Number);
     CHECK(seen.insert(it.Number).second);
