Lay virtual time, fake links and a checker of the callers' view

Ruled out: judging by the program's own counters; an error in the program would then hide itself. A cluster simulator; small fakes are enough.

--- /dev/null
+++ b/tests/proof/history.cpp
@@ -0,0 +1,244 @@
+#include "proof/history.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <utility>
+
+namespace peridotfall::proof {
+
+namespace {
+
+constexpr int PartsOfTransaction = 2;
+
+/// The history, indexed once for all checks.
+struct Index {
+  std::map<EffectId, int> Survived;        ///< Records that hold the effect.
+  std::map<EffectId, TimePoint> Committed; ///< Of the surviving record.
+  std::set<RequestId> RanFor;              ///< Requests whose change survived.
+};
+
+Index buildIndex(const History &it) {
+  Index out;
+  std::map<std::pair<Position, EffectId>, TimePoint> when;
+  for (const auto &commit : it.Commits)
+    when.try_emplace({commit.At, commit.Effect}, commit.When);
+  for (const auto &record : it.Surviving) {
+    std::set<EffectId> effects;
+    for (const auto &change : record.Changes) {
+      effects.insert(change.Effect);
+      out.RanFor.insert(change.Request);
+      auto found = when.find({record.At, change.Effect});
+      if (found != when.end())
+        out.Committed.try_emplace(change.Effect, found->second);
+    }
+    for (auto effect : effects)
+      ++out.Survived[effect];
+  }
+  return out;
+}
+
+bool isDone(const CallerRequest &it) {
+  return it.Answer && it.Answer->Effect == Outcome::Done;
+}
+
+bool changes(const CallerRequest &it) {
+  return it.Kind != RequestKind::FreshRead;
+}
+
+using Violations = std::vector<Violation>;
+
+void checkEffects(const History &it, const Index &index, Violations &out) {
+  for (const auto &[effect, n] : index.Survived)
+    if (n > 1)
+      out.push_back({Broken::Doubled, fmt::format("effect {} stands {} times",
+                                                  effect.Value, n)});
+  for (const auto &request : it.Requests) {
+    if (!changes(request) || !request.Answer)
+      continue;
+    bool survived = index.Survived.count(request.Effect) != 0;
+    if (isDone(request) && !survived)
+      out.push_back(
+          {Broken::Lost,
+           fmt::format("effect {} acknowledged at term {}",
+                       request.Effect.Value, request.Answer->At.InTerm)});
+    if (request.Answer->Effect == Outcome::NotRun &&
+        index.RanFor.count(request.Id) != 0)
+      out.push_back(
+          {Broken::FalseNotRun, fmt::format("request {}", request.Id.Value)});
+  }
+}
+
+/// One record must be one caller's, whole: a statement alone, or all parts of
+/// one transaction.
+void checkMixed(const History &it, Violations &out) {
+  for (const auto &record : it.Surviving) {
+    if (record.Changes.empty())
+      continue;
+    const auto &first = record.Changes.front();
+    bool same = std::all_of(record.Changes.begin(), record.Changes.end(),
+                            [&](const Change &change) {
+                              return change.Effect == first.Effect &&
+                                     change.Transaction == first.Transaction;
+                            });
+    std::size_t expected = first.Transaction.empty() ? 1 : PartsOfTransaction;
+    if (!same || record.Changes.size() != expected)
+      out.push_back(
+          {Broken::Mixed,
+           fmt::format("record {}.{} holds {} changes", record.At.InTerm,
+                       record.At.Index, record.Changes.size())});
+  }
+}
+
+/// What a session must see from a moment on.
+struct Known {
+  TimePoint Since;
+  EffectId Effect;
+};
+
+/// A write of unknown outcome that had committed counts as well: a caller that
+/// does not see it would order again.
+std::vector<Known> whatSessionKnows(const Index &index,
+                                    const CallerRequest &request) {
+  std::vector<Known> out;
+  if (!request.Answer)
+    return out;
+  const auto &answer = *request.Answer;
+  if (request.Kind == RequestKind::FreshRead) {
+    if (answer.Effect == Outcome::Done)
+      for (auto effect : answer.Seen)
+        out.push_back({answer.Ended, effect});
+    return out;
+  }
+  auto committed = index.Committed.find(request.Effect);
+  if (committed == index.Committed.end())
+    return out;
+  if (answer.Effect == Outcome::Done)
+    out.push_back({answer.Ended, request.Effect});
+  if (answer.Effect == Outcome::Unknown)
+    out.push_back({std::max(answer.Ended, committed->second), request.Effect});
+  return out;
+}
+
+void checkReads(const History &it, const Index &index, Violations &out) {
+  std::map<SessionId, std::vector<Known>> known;
+  for (const auto &request : it.Requests)
+    for (const auto &item : whatSessionKnows(index, request))
+      known[request.By].push_back(item);
+  for (const auto &request : it.Requests) {
+    if (request.Kind != RequestKind::FreshRead || !isDone(request))
+      continue;
+    for (const auto &item : known[request.By])
+      if (item.Since < request.Begun &&
+          request.Answer->Seen.count(item.Effect) == 0)
+        out.push_back({Broken::OwnWriteUnseen,
+                       fmt::format("request {} missed effect {}",
+                                   request.Id.Value, item.Effect.Value)});
+  }
+}
+
+/// A record appended after a higher term had its primary is an old primary's:
+/// no answer may rest on it, even if its effect survives otherwise.
+void checkReplaced(const History &it, Violations &out) {
+  std::map<std::pair<Position, EffectId>, TimePoint> when;
+  for (const auto &commit : it.Commits)
+    when.try_emplace({commit.At, commit.Effect}, commit.When);
+  for (const auto &request : it.Requests) {
+    if (!changes(request) || !isDone(request))
+      continue;
+    auto found = when.find({request.Answer->At, request.Effect});
+    if (found == when.end())
+      continue;
+    for (const auto &promotion : it.Promotions)
+      if (promotion.InTerm > request.Answer->At.InTerm &&
+          promotion.When < found->second)
+        out.push_back(
+            {Broken::ReplacedPrimary,
+             fmt::format("effect {} of term {} after term {} began",
+                         request.Effect.Value, request.Answer->At.InTerm,
+                         promotion.InTerm)});
+  }
+}
+
+void checkAnswers(const History &it, Violations &out) {
+  for (const auto &request : it.Requests) {
+    if (!request.Answer)
+      continue;
+    bool wrong = request.Answer->Id != request.Id ||
+                 (isDone(request) && request.Answer->Echo != request.Effect);
+    if (wrong)
+      out.push_back({Broken::WrongAnswer,
+                     fmt::format("request {} got the answer of {}, effect {}",
+                                 request.Id.Value, request.Answer->Id.Value,
+                                 request.Answer->Echo.Value)});
+  }
+}
+
+void checkRevisions(const History &it, Violations &out) {
+  std::map<std::pair<VmName, std::uint64_t>, std::uint64_t> last;
+  for (const auto &seen : it.Revisions) {
+    auto &highest = last[{seen.Vm, seen.Incarnation}];
+    if (seen.Revision < highest)
+      out.push_back(
+          {Broken::RevisionFell, fmt::format("{} from {} to {}", seen.Vm.Value,
+                                             highest, seen.Revision)});
+    highest = seen.Revision;
+  }
+}
+
+void checkLeaving(const History &it, Violations &out) {
+  for (const auto &work : it.AtLeaving)
+    if (work.SinceLeaving > LeavingLimit)
+      out.push_back(
+          {Broken::WorkAtLeaving,
+           fmt::format("{} after {} ms", work.Target.Value,
+                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                           work.SinceLeaving)
+                           .count())});
+  if (it.CutByShutdown > 0)
+    out.push_back(
+        {Broken::CutByShutdown, fmt::format("{} requests", it.CutByShutdown)});
+}
+
+} // namespace
+
+std::string toString(Broken it) {
+  switch (it) {
+  case Broken::Doubled:
+    return "doubled";
+  case Broken::Lost:
+    return "lost";
+  case Broken::Mixed:
+    return "mixed";
+  case Broken::OwnWriteUnseen:
+    return "own write unseen";
+  case Broken::FalseNotRun:
+    return "false not run";
+  case Broken::ReplacedPrimary:
+    return "replaced primary";
+  case Broken::WrongAnswer:
+    return "wrong answer";
+  case Broken::RevisionFell:
+    return "revision fell";
+  case Broken::WorkAtLeaving:
+    return "work at leaving target";
+  case Broken::CutByShutdown:
+    return "cut by shutdown";
+  }
+  return "";
+}
+
+std::vector<Violation> checkHistory(const History &it) {
+  auto index = buildIndex(it);
+  Violations out;
+  checkEffects(it, index, out);
+  checkMixed(it, out);
+  checkReads(it, index, out);
+  checkReplaced(it, out);
+  checkAnswers(it, out);
+  checkRevisions(it, out);
+  checkLeaving(it, out);
+  return out;
+}
+
+} // namespace peridotfall::proof
--- /dev/null
+++ b/tests/proof/network.cpp
@@ -0,0 +1,70 @@
+#include "proof/network.h"
+
+namespace peridotfall::proof {
+
+NodeId Network::add() {
+  Nodes.emplace_back();
+  return {static_cast<unsigned>(Nodes.size() - 1)};
+}
+
+void Network::pause(NodeId node) { Nodes[node.Index].Paused = true; }
+
+void Network::resume(NodeId node) {
+  auto &it = Nodes[node.Index];
+  it.Paused = false;
+  auto deferred = std::exchange(it.Deferred, {});
+  for (const auto &action : deferred)
+    timer(node, Duration(0), action);
+}
+
+void Network::kill(NodeId node) {
+  auto &it = Nodes[node.Index];
+  it.Up = false;
+  it.Paused = false;
+  it.Deferred.clear();
+  ++it.Incarnation;
+}
+
+void Network::start(NodeId node) { Nodes[node.Index].Up = true; }
+
+void Network::runAt(NodeId node, std::uint64_t incarnation,
+                    const Action &action) {
+  auto &it = Nodes[node.Index];
+  if (!it.Up || it.Incarnation != incarnation)
+    return;
+  if (it.Paused)
+    it.Deferred.push_back(action);
+  else
+    action();
+}
+
+void Network::timer(NodeId node, Duration delay, Action action) {
+  Sim.after(delay,
+            [this, node, incarnation = Nodes[node.Index].Incarnation,
+             action = std::move(action)] { runAt(node, incarnation, action); });
+}
+
+void Network::send(NodeId from, NodeId to, const Action &deliver) {
+  const auto &way = link(from, to);
+  if (way.Cut)
+    return;
+  auto jitter = std::chrono::microseconds(Sim.Rng.below(500));
+  int copies = Sim.Rng.chance(way.DoublePermille) ? 2 : 1;
+  for (int n = 0; n < copies; ++n)
+    timer(to, OneWay + jitter + way.Extra, deliver);
+}
+
+void Network::cross(Direction way, StatementAnswer answer,
+                    const std::function<void(StatementAnswer)> &deliver) {
+  auto it = Held.find(way);
+  if (it == Held.end()) {
+    Held[way] = {std::move(answer), deliver};
+    return;
+  }
+  auto first = std::move(it->second);
+  Held.erase(it);
+  first.Deliver(std::move(answer));
+  deliver(std::move(first.Answer));
+}
+
+} // namespace peridotfall::proof
