--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -10,7 +10,7 @@
 seconds=${1:-10}
 preset=${PRESET:-release}
 cmake --preset "$preset" >/dev/null
-cmake --build --preset "$preset" -- --quiet
+cmake --build --preset "$preset" --target peridotfalld peridotfall-tool standin-platform standin-target demo_caller -- --quiet
 bin=build/$preset
 work=$(mktemp -d)
 pids=()
