Wire admission and placement into the owner and the router

Why: the owner had a FIFO queue that held requests until their deadline, ran as many statements as it had connections, kept idle transactions for ever and went on after its target had another owner. The router walked owners by the count of attempts, so that a third owner could open connections, paused 25 ms at each retry without a budget, and took the last replica of the list. A daemon that probes no target of a group never learned of a new primary.

Ruled out: clearing the whole queue on a hand-over (a statement of an open transaction can run only where its connection is, so these stay); counting the time of an answer as the target's own (the queue is in it, and a target once loaded would never be asked again), so until answers carry the owner's figures the whole counts as a wait that fades; keeping the owner alive from its own queue (a leak that the address sanitizer showed).

Change: OwnerPool with Admission and WorkEstimator; statements up to the slots, half of the connections, transactions up to that less the slots; idle transactions are rolled back after 3 s by closing the connection; what waits goes back as NotOwner when the owner changes, idle connections are closed; work whose caller has gone is dropped. ReadPlacer with Placement, RetryBudget and LinkBudget by entry daemon; pauses from 25 to 200 ms; a refusal for load shifts a read once; an owner is passed over only when it cannot be reached; every other attempt after a miss looks for the primary among the others.

--- a/include/peridotfall/admission.h
+++ b/include/peridotfall/admission.h
@@ -150,7 +150,8 @@
   /// Takes out what can no longer be answered in time. \return what is to be
   /// refused now.
   std::vector<Shed> expire(TimePoint now);
-  /// Takes out everything that waits, for another owner to take.
+  /// Takes out what waits, for another owner to take. Statements of open
+  /// transactions stay: their connection is here.
   std::vector<Shed> clear(TimePoint now);
 
   /// How long the statement would wait, as things stand.
--- a/include/peridotfall/placement.h
+++ b/include/peridotfall/placement.h
@@ -154,6 +154,9 @@
   std::uint64_t Total = 0;
 };
 
+/// Way there and back.
+Duration wayOf(Distance it);
+
 /// Places the reads of one database at one entry daemon. Not synchronised.
 class Placement {
 public:
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -353,7 +353,8 @@
 
 std::vector<Shed> Admission::clear(TimePoint now) {
   std::vector<Shed> out;
-  for (auto &line : Lines) {
+  for (auto of : {WorkClass::Record, WorkClass::Lookup}) {
+    auto &line = Lines[indexOf(of)];
     for (const auto &[caller, flow] : line.Flows)
       for (const auto &lane : flow.Lanes)
         for (const auto &it : lane)
@@ -362,7 +363,7 @@
     line.Flows.clear();
     line.Work = {};
   }
-  Waiting = 0;
+  Waiting -= out.size();
   return out;
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -86,7 +86,14 @@
   if (!findings.empty())
     return findings;
   Sync->start();
-  Failover->start([owner = Local] { owner->giveUpLate(); });
+  Failover->start([this] {
+    Local->giveUpLate();
+    Local->tend([this](const TargetConfig &it) {
+      auto config = Config.get();
+      auto ranked = Peers.ranked(*config, it);
+      return ranked.empty() || ranked.front().Vm == Peers.self().Vm;
+    });
+  });
   telemetry::log(Event::Started,
                  {field("vm", Options.Self.Vm.Value),
                   field("callers", callerPort()), field("inner", innerPort())});
--- a/src/daemon/owner.cpp
+++ b/src/daemon/owner.cpp
@@ -10,11 +10,7 @@
 constexpr std::chrono::milliseconds RetryAfterUnavailable{500};
 constexpr std::chrono::milliseconds RetryAfterHeld{100};
 
-/// A connection whose last answer was lost may still carry it, or hold an
-/// open transaction: handed on, it would give one caller another's rows.
-bool leavesConnectionUsable(const StatementAnswer &it) {
-  return it.Effect != Outcome::Unknown && it.Code != AnswerCode::Unavailable;
-}
+constexpr std::chrono::milliseconds RetryAfterBusy{100};
 
 } // namespace
 
@@ -61,68 +57,153 @@
     return;
   }
   ++Running;
-  auto counted = [self = shared_from_this(),
+  // Weak: the work stands in the owner's own queue, and would keep it alive.
+  auto counted = [weak = weak_from_this(),
                   done = std::move(done)](StatementAnswer it) {
-    --self->Running;
+    if (auto self = weak.lock())
+      --self->Running;
     done(std::move(it));
   };
   auto deadline = Time.now() + request.Budget;
-  Work work{std::move(request), std::move(gone), std::move(counted), deadline,
-            *database};
-  if (!work.Request.Transaction.empty())
-    executeInTransaction(std::move(work));
-  else
-    enqueue(*target, std::move(work));
+  enqueue(*target, {std::move(request),
+                    std::move(gone),
+                    std::move(counted),
+                    deadline,
+                    *database,
+                    {},
+                    nullptr,
+                    {}});
+}
+
+OwnerPool &Owner::poolOf(Shard &shard, const TargetConfig &target) {
+  auto &pool = shard.Pools[target.Name];
+  if (!pool.Api)
+    pool.Api = Apis.get(target.Address);
+  if (!pool.Queue || pool.Target.Slots != target.Slots) {
+    // A new number of slots comes into force once the queue is empty.
+    std::hash<std::string> hash;
+    if (!pool.Queue || pool.Queue->queued() + pool.Queue->running() == 0)
+      pool.Queue.emplace(target.Slots,
+                         hash(target.Name.Value) ^ hash(Self.Value));
+  }
+  pool.Target = target;
+  // Half: while views of membership differ, an old and a new owner both
+  // hold connections, and together they must stay within the target's.
+  pool.Most = std::max(target.Connections / 2, 1U);
+  return pool;
 }
 
-void Owner::enqueue(const TargetConfig &target, Work work) {
+void Owner::enqueue(const TargetConfig &target, OwnedWork work) {
+  Actions actions;
   {
     auto &shard = shardOf(target.Name);
     std::lock_guard guard(shard.Lock);
-    auto &pool = shard.Pools[target.Name];
-    if (!pool.Api)
-      pool.Api = Apis.get(target.Address);
-    // Half: while views of membership differ, an old and a new owner both
-    // hold connections, and together they must stay within the target's.
-    pool.Most = std::max(target.Connections / 2, 1U);
-    pool.Queue.push_back(std::move(work));
+    auto &pool = poolOf(shard, target);
+    if (auto refused = admit(pool, work, actions))
+      actions.Answers.emplace_back(std::move(work), std::move(*refused));
+    plan(pool, actions);
   }
-  pump(target.Name);
+  perform(target.Name, std::move(actions));
+}
+
+/// Takes the work into the queue. \return its refusal otherwise.
+std::optional<StatementAnswer> Owner::admit(OwnerPool &pool, OwnedWork &work,
+                                            Actions &actions) {
+  const auto &request = work.Request;
+  auto open = pool.Transactions.find(request.Transaction);
+  if (work.inTransaction()) {
+    if (open == pool.Transactions.end())
+      return notRun(request, AnswerCode::TransactionGone,
+                    "the transaction has ended or was lost");
+    if (open->second.Busy)
+      return notRun(request, AnswerCode::Busy,
+                    "another statement of the transaction runs",
+                    RetryAfterBusy);
+  }
+  bool begins = !work.inTransaction() && request.What == Verb::Begin;
+  if (begins &&
+      pool.Transactions.size() + pool.Beginning >= mostTransactions(pool))
+    return notRun(request, AnswerCode::Overloaded,
+                  "as many transactions are open as the target allows",
+                  limits::IdleTransaction);
+  auto offer = pool.Queue->offer(workItemOf(work, pool), Time.now());
+  for (const auto &it : offer.Others) {
+    auto other = pool.Waiting.extract(it.Ticket);
+    releaseWaiting(pool, other.mapped());
+    auto answer = notRun(other.mapped().Request, it.Why.Code,
+                         "refused for work of others", it.Why.RetryAfter);
+    actions.Answers.emplace_back(std::move(other.mapped()), std::move(answer));
+  }
+  if (!offer.Ticket.valid())
+    return notRun(request, offer.Why.Code,
+                  offer.Why.Code == AnswerCode::DeadlinePassed
+                      ? "deadline passed"
+                      : "the target is busy beyond the deadline",
+                  offer.Why.RetryAfter);
+  if (work.inTransaction()) {
+    open->second.Busy = true;
+    work.Connection = open->second.Connection;
+  }
+  pool.Beginning += begins ? 1 : 0;
+  work.Ticket = offer.Ticket;
+  pool.Waiting.emplace(offer.Ticket, std::move(work));
+  return std::nullopt;
 }
 
 void Owner::pump(const TargetName &target) {
-  std::vector<std::pair<target::ConnectionPtr, Work>> ready;
-  std::vector<Work> late;
-  TargetPtr toConnect;
+  Actions actions;
   {
     auto &shard = shardOf(target);
     std::lock_guard guard(shard.Lock);
-    auto &pool = shard.Pools[target];
-    while (!pool.Queue.empty()) {
-      auto &front = pool.Queue.front();
-      if (front.Gone->load() || front.Deadline <= Time.now()) {
-        late.push_back(std::move(front));
-        pool.Queue.pop_front();
-      } else if (!pool.Idle.empty()) {
-        ready.emplace_back(std::move(pool.Idle.back()), std::move(front));
-        pool.Idle.pop_back();
-        pool.Queue.pop_front();
-      } else
-        break;
-    }
-    if (pool.Queue.size() > pool.Opening && pool.Held < pool.Most) {
-      ++pool.Held;
-      ++pool.Opening;
-      toConnect = pool.Api;
-    }
+    plan(shard.Pools[target], actions);
   }
-  for (auto &it : late)
-    it.Done(notRun(it.Request, AnswerCode::DeadlinePassed,
-                   "deadline passed in the queue"));
-  if (toConnect)
-    connect(target, toConnect);
-  for (auto &[connection, work] : ready)
-    run(connection, std::move(work));
+  perform(target, std::move(actions));
+}
+
+void Owner::plan(OwnerPool &pool, Actions &actions) {
+  auto now = Time.now();
+  for (const auto &it : pool.Queue->expire(now)) {
+    auto late = pool.Waiting.extract(it.Ticket);
+    releaseWaiting(pool, late.mapped());
+    auto answer = notRun(late.mapped().Request, it.Why.Code,
+                         "could not be answered in time", it.Why.RetryAfter);
+    actions.Answers.emplace_back(std::move(late.mapped()), std::move(answer));
+  }
+  while (auto ticket = pool.Queue->next(now)) {
+    auto work = std::move(pool.Waiting.extract(*ticket).mapped());
+    if (work.Gone->load()) {
+      pool.Queue->finish(*ticket);
+      releaseWaiting(pool, work);
+      auto answer = notRun(work.Request, AnswerCode::DeadlinePassed,
+                           "the caller has gone");
+      actions.Answers.emplace_back(std::move(work), std::move(answer));
+    } else if (work.Connection)
+      actions.Start.push_back(std::move(work));
+    else
+      pool.Started.push_back(std::move(work));
+  }
+  while (!pool.Started.empty() && !pool.Idle.empty()) {
+    pool.Started.front().Connection = std::move(pool.Idle.back());
+    pool.Idle.pop_back();
+    actions.Start.push_back(std::move(pool.Started.front()));
+    pool.Started.pop_front();
+  }
+  if (pool.Started.size() > pool.Opening && pool.Held < pool.Most) {
+    ++pool.Held;
+    ++pool.Opening;
+    actions.Connect = pool.Api;
+  }
+}
+
+void Owner::perform(const TargetName &target, Actions actions) {
+  for (const auto &it : actions.Close)
+    it->Close();
+  for (auto &[work, answer] : actions.Answers)
+    work.Done(std::move(answer));
+  if (actions.Connect)
+    connect(target, actions.Connect);
+  for (auto &it : actions.Start)
+    run(std::move(it));
 }
 
 void Owner::connect(const TargetName &target, const TargetPtr &api) {
@@ -134,7 +215,7 @@
 
 void Owner::connected(const TargetName &target,
                       const Result<target::ConnectionPtr> &result) {
-  std::deque<Work> refused;
+  Actions actions;
   {
     auto &shard = shardOf(target);
     std::lock_guard guard(shard.Lock);
@@ -148,58 +229,102 @@
       // opened do not count: to a dead target two would fail in turn, each
       // while the other is tried again, and the queue would wait for ever.
       if (pool.Held == pool.Opening)
-        refused = std::exchange(pool.Queue, {});
+        refuseAll(pool, result.error().Message, actions);
     }
+    plan(pool, actions);
   }
-  for (auto &it : refused)
-    it.Done(notRun(it.Request, AnswerCode::Unavailable, result.error().Message,
-                   RetryAfterUnavailable));
-  pump(target);
+  perform(target, std::move(actions));
 }
 
-void Owner::run(const target::ConnectionPtr &connection, Work work) {
-  auto request = work.Request;
+/// Refuses what has no connection yet, started or not.
+void Owner::refuseAll(OwnerPool &pool, const std::string &why,
+                      Actions &actions) {
+  auto refuse = [&](OwnedWork work) {
+    releaseWaiting(pool, work);
+    auto answer = notRun(work.Request, AnswerCode::Unavailable, why,
+                         RetryAfterUnavailable);
+    actions.Answers.emplace_back(std::move(work), std::move(answer));
+  };
+  for (auto &it : std::exchange(pool.Started, {})) {
+    pool.Queue->finish(it.Ticket);
+    refuse(std::move(it));
+  }
+  pool.Queue->clear(Time.now());
+  for (auto &[ticket, it] : std::exchange(pool.Waiting, {}))
+    refuse(std::move(it));
+}
+
+void Owner::run(OwnedWork work) {
   auto limit = std::max(timeLeft(work.Deadline), std::chrono::milliseconds(1));
-  request.Budget = limit;
-  connection->Execute(request, limit,
-                      [self = shared_from_this(), connection,
-                       work = std::move(work)](StatementAnswer it) {
-                        self->finish(connection, work, std::move(it));
-                      });
+  work.Request.Budget = limit;
+  work.StartedAt = Time.now();
+  auto request = work.Request;
+  auto connection = work.Connection;
+  connection->Execute(
+      request, limit,
+      [self = shared_from_this(), work = std::move(work)](StatementAnswer it) {
+        self->finish(work, std::move(it));
+      });
 }
 
-void Owner::finish(const target::ConnectionPtr &connection, const Work &work,
-                   StatementAnswer answer) {
-  bool opened =
-      work.Request.What == Verb::Begin && answer.Code == AnswerCode::Ok;
-  if (opened)
-    answer.Transaction = openTransaction(work, connection);
-  else
-    giveBack(work.Request.Target, connection, leavesConnectionUsable(answer));
+void Owner::finish(const OwnedWork &work, StatementAnswer answer) {
+  auto opened = settle(work, answer);
+  if (!opened.empty())
+    answer.Transaction = opened;
   answer.ServedBy = work.Request.Target;
-  if (opened)
-    work.Done(std::move(answer));
-  else
+  if (answer.Code == AnswerCode::Busy && !answer.RetryAfter)
+    answer.RetryAfter = RetryAfterBusy;
+  bool confirms = work.Request.What == Verb::Commit ||
+                  (!work.inTransaction() && opened.empty());
+  if (confirms)
     confirm(work, std::move(answer));
+  else
+    work.Done(std::move(answer));
 }
 
-void Owner::giveBack(const TargetName &target,
-                     const target::ConnectionPtr &connection, bool usable) {
+std::string Owner::settle(const OwnedWork &work,
+                          const StatementAnswer &answer) {
+  const auto &request = work.Request;
+  bool begins = !work.inTransaction() && request.What == Verb::Begin;
+  bool usable = leavesConnectionUsable(answer);
+  std::string opened;
+  bool giveBack = true;
   if (!usable)
-    connection->Close();
+    work.Connection->Close();
   {
-    auto &shard = shardOf(target);
+    auto &shard = shardOf(request.Target);
     std::lock_guard guard(shard.Lock);
-    auto &pool = shard.Pools[target];
-    if (usable && connection->IsOpen())
-      pool.Idle.push_back(connection);
-    else
+    auto &pool = shard.Pools[request.Target];
+    auto now = Time.now();
+    pool.Queue->finish(work.Ticket);
+    if (answer.Effect == Outcome::Done)
+      pool.Estimates.observe(workKey(request), now - work.StartedAt);
+    if (begins) {
+      --pool.Beginning;
+      if (answer.Code == AnswerCode::Ok) {
+        opened = makeTransactionHandle({Self, request.Target});
+        pool.Transactions[opened] = {work.Connection, false, now};
+        giveBack = false;
+      }
+    }
+    auto open = pool.Transactions.find(request.Transaction);
+    if (open != pool.Transactions.end()) {
+      open->second.Busy = false;
+      open->second.IdleSince = now;
+      giveBack = endsTransaction(request, answer);
+      if (giveBack)
+        pool.Transactions.erase(open);
+    }
+    if (giveBack && usable && work.Connection->IsOpen())
+      pool.Idle.push_back(work.Connection);
+    else if (giveBack)
       --pool.Held;
   }
-  pump(target);
+  pump(request.Target);
+  return opened;
 }
 
-void Owner::confirm(const Work &work, StatementAnswer answer) {
+void Owner::confirm(const OwnedWork &work, StatementAnswer answer) {
   bool onPrimary = Views.get(work.Request.Database).Primary == answer.ServedBy;
   bool needed = work.Request.Mode == Access::Write ||
                 (work.Request.Mode == Access::FreshRead && onPrimary);
@@ -226,73 +351,4 @@
       });
 }
 
-std::string Owner::openTransaction(const Work &work,
-                                   const target::ConnectionPtr &connection) {
-  auto handle = makeTransactionHandle({Self, work.Request.Target});
-  auto &shard = shardOf(work.Request.Target);
-  std::lock_guard guard(shard.Lock);
-  shard.Pools[work.Request.Target].Transactions[handle] = {connection, false};
-  return handle;
-}
-
-void Owner::executeInTransaction(Work work) {
-  target::ConnectionPtr connection;
-  AnswerCode problem = AnswerCode::TransactionGone;
-  {
-    auto &shard = shardOf(work.Request.Target);
-    std::lock_guard guard(shard.Lock);
-    auto &open = shard.Pools[work.Request.Target].Transactions;
-    auto it = open.find(work.Request.Transaction);
-    if (it != open.end() && it->second.Busy)
-      problem = AnswerCode::Busy;
-    else if (it != open.end()) {
-      it->second.Busy = true;
-      connection = it->second.Connection;
-    }
-  }
-  if (!connection) {
-    work.Done(notRun(work.Request, problem,
-                     problem == AnswerCode::Busy
-                         ? "another statement of the transaction runs"
-                         : "the transaction has ended or was lost"));
-    return;
-  }
-  auto limit = std::max(timeLeft(work.Deadline), std::chrono::milliseconds(1));
-  work.Request.Budget = limit;
-  auto request = work.Request;
-  connection->Execute(request, limit,
-                      [self = shared_from_this(), connection,
-                       work = std::move(work)](StatementAnswer it) {
-                        self->finishInTransaction(connection, work,
-                                                  std::move(it));
-                      });
-}
-
-void Owner::finishInTransaction(const target::ConnectionPtr &connection,
-                                const Work &work, StatementAnswer answer) {
-  bool usable = leavesConnectionUsable(answer);
-  bool ended = !usable || answer.Code == AnswerCode::TransactionGone ||
-               ((work.Request.What == Verb::Commit ||
-                 work.Request.What == Verb::Rollback) &&
-                answer.Effect == Outcome::Done);
-  {
-    auto &shard = shardOf(work.Request.Target);
-    std::lock_guard guard(shard.Lock);
-    auto &open = shard.Pools[work.Request.Target].Transactions;
-    auto it = open.find(work.Request.Transaction);
-    if (it != open.end()) {
-      it->second.Busy = false;
-      if (ended)
-        open.erase(it);
-    }
-  }
-  if (ended)
-    giveBack(work.Request.Target, connection, usable);
-  answer.ServedBy = work.Request.Target;
-  if (work.Request.What == Verb::Commit)
-    confirm(work, std::move(answer));
-  else
-    work.Done(std::move(answer));
-}
-
 } // namespace peridotfall
--- a/src/daemon/owner.h
+++ b/src/daemon/owner.h
@@ -7,6 +7,7 @@
 
 #include "config/in_force.h"
 #include "daemon/confirm.h"
+#include "daemon/owner_pool.h"
 #include "daemon/targets.h"
 #include "daemon/views.h"
 #include "peridotfall/clock.h"
@@ -15,19 +16,17 @@
 
 #include <array>
 #include <atomic>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace peridotfall {
 
-using OnAnswer = std::function<void(StatementAnswer)>;
-using GoneFlag = std::shared_ptr<std::atomic<bool>>;
-
 class Owner : public std::enable_shared_from_this<Owner> {
 public:
   Owner(const Clock &clock, VmName self, const ConfigurationInForce &config,
@@ -41,52 +40,48 @@
   /// Gives up confirmations that are past their limit; to be called often.
   void giveUpLate() { Confirms.giveUpLate(); }
 
+  /// Drops what nobody waits for or what came too late, rolls back idle
+  /// transactions, and gives up targets that are not this daemon's any more.
+  /// To be called every few hundred ms.
+  /// \param owns whether this daemon is rank 0 for the target.
+  void tend(const std::function<bool(const TargetConfig &)> &owns);
+
 private:
-  struct Work {
-    StatementRequest Request;
-    GoneFlag Gone;
-    OnAnswer Done;
-    TimePoint Deadline;
-    DatabaseConfig Database;
-  };
-  struct Transaction {
-    target::ConnectionPtr Connection;
-    bool Busy = false;
-  };
-  /// State of one target.
-  struct Pool {
-    TargetPtr Api;
-    std::uint32_t Most = 0; ///< Connections we may hold.
-    std::uint32_t Held = 0; ///< Open or being opened.
-    std::uint32_t Opening = 0;
-    std::vector<target::ConnectionPtr> Idle;
-    std::deque<Work> Queue;
-    std::map<std::string, Transaction> Transactions;
-  };
   struct Shard {
     mutable std::mutex Lock;
-    std::map<TargetName, Pool> Pools;
+    std::map<TargetName, OwnerPool> Pools;
+  };
+  /// Answers and calls on targets, made once the lock is released.
+  struct Actions {
+    std::vector<std::pair<OwnedWork, StatementAnswer>> Answers;
+    std::vector<OwnedWork> Start; ///< Each with its connection.
+    std::vector<target::ConnectionPtr> Close;
+    TargetPtr Connect;
   };
 
   Shard &shardOf(const TargetName &target);
   std::chrono::milliseconds timeLeft(TimePoint deadline) const;
-  void enqueue(const TargetConfig &target, Work work);
-  /// Starts what can start; answers are called outside the lock.
+  void enqueue(const TargetConfig &target, OwnedWork work);
+  std::optional<StatementAnswer> admit(OwnerPool &pool, OwnedWork &work,
+                                       Actions &actions);
+  OwnerPool &poolOf(Shard &shard, const TargetConfig &target);
+  /// Starts what can start.
   void pump(const TargetName &target);
+  void plan(OwnerPool &pool, Actions &actions);
+  void perform(const TargetName &target, Actions actions);
   void connect(const TargetName &target, const TargetPtr &api);
   void connected(const TargetName &target,
                  const Result<target::ConnectionPtr> &result);
-  void run(const target::ConnectionPtr &connection, Work work);
-  void finish(const target::ConnectionPtr &connection, const Work &work,
-              StatementAnswer answer);
-  void giveBack(const TargetName &target,
-                const target::ConnectionPtr &connection, bool usable);
-  void executeInTransaction(Work work);
-  void finishInTransaction(const target::ConnectionPtr &connection,
-                           const Work &work, StatementAnswer answer);
-  std::string openTransaction(const Work &work,
-                              const target::ConnectionPtr &connection);
-  void confirm(const Work &work, StatementAnswer answer);
+  void run(OwnedWork work);
+  void finish(const OwnedWork &work, StatementAnswer answer);
+  /// Settles the connection and the slot. \return the answer's transaction.
+  std::string settle(const OwnedWork &work, const StatementAnswer &answer);
+  void confirm(const OwnedWork &work, StatementAnswer answer);
+  void handOver(OwnerPool &pool, Actions &actions);
+  void rollBackIdle(OwnerPool &pool, Actions &actions);
+  void dropGone(OwnerPool &pool, Actions &actions);
+  void refuseAll(OwnerPool &pool, const std::string &why, Actions &actions);
+  void releaseWaiting(OwnerPool &pool, const OwnedWork &work);
 
   const Clock &Time;
   const VmName Self;
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -8,10 +8,12 @@
 #include "config/in_force.h"
 #include "daemon/fleet.h"
 #include "daemon/owner.h"
+#include "daemon/read_placer.h"
 #include "daemon/views.h"
 #include "peridotfall/session_token.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 
 namespace peridotfall {
@@ -37,12 +39,19 @@
   using OperationPtr = std::shared_ptr<Operation>;
 
   void attempt(const OperationPtr &op);
-  void send(const OperationPtr &op, const TargetConfig &target,
-            StatementRequest request);
+  static void aimAtPrimary(const Operation &op, const DatabaseConfig &database,
+                           const GroupView &view, StatementRequest &request);
+  void send(const OperationPtr &op, StatementRequest request);
+  void sendLocal(const OperationPtr &op, StatementRequest request);
   void sendRemote(const OperationPtr &op, const Member &owner,
                   const StatementRequest &request);
-  void answered(const OperationPtr &op, StatementAnswer answer);
-  void tryAgain(const OperationPtr &op, const StatementAnswer &answer);
+  void learn(const StatementRequest &request, const StatementAnswer &answer,
+             Duration took);
+  bool goOn(const OperationPtr &op, const StatementAnswer &answer);
+  void answered(const OperationPtr &op, const StatementRequest &sent,
+                StatementAnswer answer);
+  void end(const OperationPtr &op, StatementAnswer answer);
+  void later(Duration pause, std::function<void()> action);
   void routeTransaction(const OperationPtr &op);
   Duration timeLeft(const Operation &op) const;
 
@@ -52,6 +61,7 @@
   Fleet &Peers;
   GroupViews &Views;
   Owner &Local;
+  ReadPlacer Places;
   std::atomic<std::uint64_t> LastRequest;
 };
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -10,7 +10,17 @@
 
 constexpr Duration NoCost = Duration::max();
 
-/// Way there and back.
+Duration scaled(Duration it, double by) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(it.count()) * by));
+}
+
+bool isFailure(AnswerCode it) {
+  return it == AnswerCode::Unavailable || it == AnswerCode::ConnectionLost;
+}
+
+} // namespace
+
 Duration wayOf(Distance it) {
   using std::chrono::milliseconds;
   switch (it) {
@@ -24,17 +34,6 @@
   return {};
 }
 
-Duration scaled(Duration it, double by) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(it.count()) * by));
-}
-
-bool isFailure(AnswerCode it) {
-  return it == AnswerCode::Unavailable || it == AnswerCode::ConnectionLost;
-}
-
-} // namespace
-
 Duration Placement::lagOf(const Candidate &it, const Load &load) const {
   if (it.Age)
     return *it.Age;
--- /dev/null
+++ b/tests/daemon/owner_test.cpp
@@ -0,0 +1,277 @@
+// The owner of a target, with a fake target that answers when told to.
+
+#include "daemon/owner.h"
+#include "daemon/router.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+
+using namespace peridotfall;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t Slots = 2;
+constexpr std::uint32_t Connections = 8;
+
+/// What a target was asked, each with the way to answer it.
+struct FakeTarget {
+  struct Call {
+    StatementRequest Request;
+    target::OnAnswer Answer;
+  };
+  std::vector<Call> Calls;
+  std::size_t Opened = 0;
+  std::size_t Closed = 0;
+
+  target::Api api() {
+    target::Api it;
+    it.Connect = [this](const target::OnConnection &done) {
+      ++Opened;
+      auto open = std::make_shared<bool>(true);
+      target::Connection connection;
+      connection.Execute = [this](const StatementRequest &request, milliseconds,
+                                  target::OnAnswer answer) {
+        Calls.push_back({request, std::move(answer)});
+      };
+      connection.Close = [this, open] {
+        Closed += *open ? 1 : 0;
+        *open = false;
+      };
+      connection.IsOpen = [open] { return *open; };
+      done(std::make_shared<const target::Connection>(connection));
+    };
+    return it;
+  }
+  /// Answers the oldest call.
+  void answer(Outcome effect = Outcome::Done,
+              AnswerCode code = AnswerCode::Ok) {
+    auto it = std::move(Calls.front());
+    Calls.erase(Calls.begin());
+    auto out = notRun(it.Request, code, "");
+    out.Effect = effect;
+    it.Answer(out);
+  }
+};
+
+struct OwnerFixture {
+  ManualClock Time;
+  ConfigurationInForce Config;
+  GroupViews Views;
+  FakeTarget Fake;
+  Targets Apis{[this](const std::string &) { return Fake.api(); }};
+  std::shared_ptr<Owner> Local;
+  std::vector<StatementAnswer> Answers;
+  GoneFlag Gone = std::make_shared<std::atomic<bool>>(false);
+  TargetName Press{"press"};
+
+  OwnerFixture() {
+    Configuration it;
+    it.Revision = 1;
+    it.Domains = {{DomainName("d"), RegionName("r")}};
+    DatabaseConfig database;
+    database.Name = DatabaseName("orders");
+    database.Targets = {{Press, DomainName("d"), "press", Slots, Connections}};
+    it.Databases = {database};
+    Config.offer(it);
+    Local = std::make_shared<Owner>(Time, VmName("vm"), Config, Apis, Views);
+  }
+
+  StatementRequest request(Verb what = Verb::Statement) const {
+    StatementRequest it;
+    it.What = what;
+    it.Database = DatabaseName("orders");
+    it.Target = Press;
+    it.Mode = Access::StaleRead;
+    it.Sql = "SELECT 1";
+    it.Budget = seconds(2);
+    return it;
+  }
+  void execute(const StatementRequest &it) {
+    Local->execute(it, Gone, [this](StatementAnswer answer) {
+      Answers.push_back(std::move(answer));
+    });
+  }
+  void tend(bool owned = true) {
+    Local->tend([owned](const TargetConfig &) { return owned; });
+  }
+  /// Shows the owner that the statement is short.
+  void runOnce() {
+    execute(request());
+    Time.advance(milliseconds(4));
+    Fake.answer();
+    Answers.clear();
+  }
+  std::string openTransaction() {
+    execute(request(Verb::Begin));
+    Fake.answer();
+    return Answers.back().Transaction;
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "statements beyond the slots wait at the owner") {
+  for (int n = 0; n < 5; ++n)
+    execute(request());
+  CHECK(Fake.Calls.size() <= Slots);
+  while (Answers.size() < 5)
+    Fake.answer();
+  CHECK(Fake.Opened <= Slots);
+}
+
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "transactions, many of them, leave half of the connections "
+                  "and a slot's to others") {
+  // Callers open transactions and think. Beyond the limit one is refused with
+  // a time to come back, and a lookup still runs.
+  for (std::uint32_t n = 0; n < Connections; ++n) {
+    execute(request(Verb::Begin));
+    if (!Fake.Calls.empty())
+      Fake.answer();
+  }
+  CHECK((Answers.back().Code == AnswerCode::Overloaded));
+  CHECK(Answers.back().RetryAfter.has_value());
+  execute(request());
+  REQUIRE(Fake.Calls.size() == 1);
+  CHECK(Fake.Opened <= Connections / 2);
+}
+
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "transaction, idle too long, is rolled back and said gone") {
+  // A caller stops in the middle. Its connection is closed, which makes the
+  // target roll back; its next statement is told so and was not run.
+  auto handle = openTransaction();
+  REQUIRE_FALSE(handle.empty());
+  Time.advance(limits::IdleTransaction);
+  tend();
+  CHECK(Fake.Closed == 1);
+  auto it = request();
+  it.Transaction = handle;
+  execute(it);
+  CHECK((Answers.back().Code == AnswerCode::TransactionGone));
+  CHECK((Answers.back().Effect == Outcome::NotRun));
+}
+
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "transaction, a statement running, is not taken for idle") {
+  auto it = request();
+  it.Transaction = openTransaction();
+  execute(it);
+  Time.advance(2 * Duration(limits::IdleTransaction));
+  tend();
+  CHECK(Fake.Closed == 0);
+  Fake.answer();
+  CHECK((Answers.back().Effect == Outcome::Done));
+}
+
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "ownership moves, what waits goes on and what runs ends") {
+  // Another daemon becomes rank 0. Requests that have not started are handed
+  // back to their entries as not run; those that run are answered here, and
+  // the connections are given up.
+  runOnce();
+  for (int n = 0; n < 5; ++n)
+    execute(request());
+  REQUIRE(Fake.Calls.size() == Slots);
+  tend(false);
+  REQUIRE(Answers.size() == 3);
+  for (const auto &it : Answers) {
+    CHECK((it.Code == AnswerCode::NotOwner));
+    CHECK((it.Effect == Outcome::NotRun));
+  }
+  Fake.answer();
+  Fake.answer();
+  CHECK((Answers.back().Effect == Outcome::Done));
+  tend(false);
+  CHECK(Fake.Closed == Fake.Opened);
+}
+
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "ownership moves, an open transaction is finished here") {
+  auto it = request(Verb::Rollback);
+  it.Transaction = openTransaction();
+  tend(false);
+  CHECK(Fake.Closed == 0);
+  execute(it);
+  REQUIRE(Fake.Calls.size() == 1);
+  Fake.answer();
+  CHECK((Answers.back().Effect == Outcome::Done));
+}
+
+TEST_CASE_FIXTURE(OwnerFixture, "caller gone while it waits, nothing is run") {
+  runOnce();
+  for (int n = 0; n < 3; ++n)
+    execute(request());
+  REQUIRE(Fake.Calls.size() == Slots);
+  *Gone = true;
+  Fake.answer();
+  Fake.answer();
+  CHECK(Fake.Calls.empty());
+  CHECK(Answers.size() == 3);
+  CHECK(Local->inFlight() == 0);
+}
+
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "queue longer than the deadline, refuses with a time") {
+  // Each statement takes 300 ms, two run at once. Of 40 with 2 s to go the
+  // last are told at once to come back; none is left to wait for nothing.
+  for (int n = 0; n < 4; ++n) {
+    execute(request());
+    Time.advance(milliseconds(300));
+    Fake.answer();
+  }
+  auto before = Answers.size();
+  for (int n = 0; n < 40; ++n)
+    execute(request());
+  REQUIRE(Answers.size() > before);
+  for (auto n = before; n < Answers.size(); ++n) {
+    CHECK((Answers[n].Code == AnswerCode::Overloaded));
+    CHECK((Answers[n].Effect == Outcome::NotRun));
+    CHECK(Answers[n].RetryAfter.has_value());
+  }
+}
+
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "write in doubt, later refused, is still said unknown") {
+  // The connection is lost after a payment left. Its key lets the entry ask
+  // again, and that attempt is refused as not run; the caller must not be
+  // told so of the payment, since the first attempt may have run.
+  http::Loops loops(1);
+  Member self{VmName("vm"), DomainName("d"), RegionName("r"), "", 1, false};
+  Fleet peers(loops, self, {});
+  SystemClock clock;
+  std::atomic<int> executed{0};
+  Targets lossy([&](const std::string &) {
+    target::Api api;
+    api.Connect = [&](const target::OnConnection &done) {
+      target::Connection it;
+      it.Execute = [&](const StatementRequest &request, milliseconds,
+                       const target::OnAnswer &answer) {
+        answer(executed++ == 0
+                   ? unknownOutcome(request, AnswerCode::ConnectionLost, "")
+                   : notRun(request, AnswerCode::SqlError, ""));
+      };
+      it.Close = [] {};
+      it.IsOpen = [] { return true; };
+      done(std::make_shared<const target::Connection>(it));
+    };
+    return api;
+  });
+  auto owner =
+      std::make_shared<Owner>(clock, VmName("vm"), Config, lossy, Views);
+  auto router =
+      std::make_shared<Router>(loops, clock, Config, peers, Views, *owner);
+  RoutedRequest routed{request(), {}, Gone};
+  routed.Request.Mode = Access::Write;
+  routed.Request.Key = "payment-1";
+  std::promise<StatementAnswer> answer;
+  router->route(routed, [&](StatementAnswer it) { answer.set_value(it); });
+  auto it = answer.get_future().get();
+  CHECK(executed == 2);
+  CHECK((it.Effect == Outcome::Unknown));
+  loops.stop();
+}
