Pass configuration and membership between daemons, two watching a domain

Cause: each daemon watched and listed at the platform itself, a call of 1,700 daemons waiting and 1,700 lists a second; a start with the platform down was not possible; a dead daemon stayed an owner.

Ruled out: a watch in each daemon; comparisons alone (revisions double their holders each 2 s); pushing the text down the tree (a copy from each watcher's tree, so the receiver fetches once instead).

A configuration beyond a megabyte is not handled.

--- a/include/peridotfall/configuration.h
+++ b/include/peridotfall/configuration.h
@@ -60,6 +60,8 @@
   std::string AppliedBy;
   std::vector<FailureDomain> Domains;
   std::vector<DatabaseConfig> Databases;
+  /// VMs, of daemons or of targets, that operators take out of use.
+  std::vector<VmName> Drained;
 
   auto operator<=>(const Configuration &) const = default;
 };
@@ -74,6 +76,10 @@
 const TargetConfig *findTarget(const DatabaseConfig &it,
                                const TargetName &name);
 const KindConfig *findKind(const DatabaseConfig &it, const KindName &name);
+/// \return whether the VM is to get no new work.
+bool isDrained(const Configuration &it, const VmName &vm);
+/// \return whether the target is: its VM is named as the target is.
+bool isDrained(const Configuration &it, const TargetName &target);
 /// \return an empty name where the domain is not known.
 RegionName regionOf(const Configuration &it, const DomainName &domain);
 
--- a/include/peridotfall/membership.h
+++ b/include/peridotfall/membership.h
@@ -10,6 +10,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -109,6 +110,7 @@
   /// \return all it knows of, suspected ones included.
   std::vector<Member> known() const;
   MemberRecord self() const;
+  std::optional<Member> findMember(const VmName &vm) const;
   bool isSuspected(const VmName &vm) const;
   /// \return the records that changed lately, newest first, at most \p most.
   std::vector<MemberRecord> recent(TimePoint now, std::size_t most) const;
--- a/src/base/document.cpp
+++ b/src/base/document.cpp
@@ -148,6 +148,13 @@
   return EmptyList;
 }
 
+const Json &ObjectReader::listOr(const char *field) {
+  if (Object.contains(field))
+    return list(field);
+  Known.emplace_back(field);
+  return EmptyList;
+}
+
 const Json &ObjectReader::object(const char *field) {
   constexpr auto Expected = "an object";
   const Json *it = find(field, true, Expected);
--- a/src/base/document.h
+++ b/src/base/document.h
@@ -34,6 +34,8 @@
   bool flagOr(const char *field, bool fallback);
   /// \return the array, or an empty one.
   const Json &list(const char *field);
+  /// \return the array, or an empty one also where there is no such field.
+  const Json &listOr(const char *field);
   /// \return the object, or an empty one.
   const Json &object(const char *field);
   /// Reports fields that no call has read: a misspelt name must not be
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -187,6 +187,11 @@
   for (const auto &database : it.list("databases"))
     config.Databases.push_back(
         readDatabase(database, at("/databases", n++), findings));
+  for (const auto &vm : it.listOr("drained"))
+    if (vm.is_string())
+      config.Drained.emplace_back(vm.get<std::string>());
+    else
+      it.report("drained", "names of VMs", excerpt(vm));
   it.finish();
   checkWhole(config, findings);
   if (!findings.empty())
@@ -206,6 +211,11 @@
               {"id", it.Id},
               {"domains", domains},
               {"databases", databases}};
+  if (!it.Drained.empty()) {
+    out["drained"] = Json::array();
+    for (const auto &vm : it.Drained)
+      out["drained"].push_back(vm.Value);
+  }
   if (!it.AppliedBy.empty())
     out["appliedBy"] = it.AppliedBy;
   return out.dump();
@@ -225,6 +235,15 @@
   return findByName(it.Kinds, name);
 }
 
+bool isDrained(const Configuration &it, const VmName &vm) {
+  return std::find(it.Drained.begin(), it.Drained.end(), vm) !=
+         it.Drained.end();
+}
+
+bool isDrained(const Configuration &it, const TargetName &target) {
+  return isDrained(it, VmName(target.Value));
+}
+
 RegionName regionOf(const Configuration &it, const DomainName &domain) {
   const auto *found = findByName(it.Domains, domain);
   return found ? found->Region : RegionName();
--- a/src/config/fan_out.h
+++ b/src/config/fan_out.h
@@ -6,7 +6,7 @@
 
 #include "peridotfall/membership.h"
 
-#include <cstdint>
+#include <map>
 #include <vector>
 
 namespace peridotfall {
@@ -26,22 +26,26 @@
 /// \return whether \p self is one of its domain's watchers.
 bool isWatcher(const std::vector<Member> &live, const Member &self);
 
-/// One announcement's tree: each has its own, so that no daemon is an inner
-/// node of all of them.
+/// The tree of one root's announcements. Each root has another, so that a
+/// failed inner node cuts off other daemons in each; it stays the same, so
+/// that the connections along it do too.
 struct Tree {
   VmName Root;
-  std::uint64_t Seed = 0;
   bool DomainOnly = false; ///< Only the root's failure domain.
 
   auto operator<=>(const Tree &) const = default;
 };
 
+/// The members by failure domain, in the order of one root's tree.
+using TreeOrder = std::map<DomainName, std::vector<Member>>;
+TreeOrder arrange(const std::vector<Member> &live, const Tree &tree);
+
 /// \return whom \p self tells. The root tells one member of each other domain,
 /// so that a change crosses a link between regions once, and each tells its
 /// share of its own domain. All daemons compute the same tree where they see
 /// the same members; where they do not, comparing with peers brings the rest.
-std::vector<Member> childrenOf(const std::vector<Member> &live,
-                               const Tree &tree, const VmName &self);
+std::vector<Member> childrenOf(const TreeOrder &order, const Tree &tree,
+                               const VmName &self);
 
 } // namespace peridotfall
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -33,6 +33,12 @@
   return it;
 }
 
+platform::GuardOptions guardOptions(const Member &self) {
+  platform::GuardOptions it;
+  it.Seed = self.Incarnation;
+  return it;
+}
+
 } // namespace
 
 Daemon::Daemon(DaemonOptions options)
@@ -47,11 +53,15 @@
           std::make_shared<Router>(Loops, Time, Config, Peers, Views, *Local)),
       Probes(std::make_shared<Prober>(Loops.at(0), Time, Config, Peers, Apis,
                                       Views, Options.ProbeInterval)),
-      Sync(std::make_shared<PlatformSync>(
-          Loops.at(0),
+      PlatformCalls(std::make_shared<platform::CallCounts>()),
+      PlatformApi(platform::makeGuarded(
           platform::makeHttpPlatform(Loops.at(0),
                                      {.Address = Options.Platform}),
-          Config, Peers)) {
+          Loops.at(0), Time, guardOptions(Peers.self()), PlatformCalls)),
+      Relay(std::make_shared<ConfigurationRelay>(Loops.at(0), Time, Config,
+                                                 Peers, Options.Peers)),
+      Sync(std::make_shared<PlatformSync>(Loops.at(0), Time, PlatformApi, Relay,
+                                          Peers)) {
   http::ServerOptions callers;
   callers.Address = Options.ListenCallers;
   Callers = std::make_shared<http::Server>(
@@ -80,6 +90,8 @@
         {"--listen_inner", "an address that is free", ec.message()});
   if (!findings.empty())
     return findings;
+  Peers.listeningOn(innerPort());
+  Relay->start();
   Sync->start();
   Probes->start();
   telemetry::log(Event::Started,
@@ -92,6 +104,7 @@
   constexpr std::chrono::milliseconds Step{10};
   telemetry::log(Event::Stopping, {field("limit_ms", limit.count())});
   Draining = true;
+  Relay->leave();
   Callers->drain();
   auto end = Time.now() + limit;
   while ((Serving > 0 || Local->inFlight() > 0) && Time.now() < end)
@@ -99,6 +112,7 @@
   bool finished = Serving == 0 && Local->inFlight() == 0;
   Probes->stop();
   Sync->stop();
+  Relay->stop();
   Inner->drain();
   Callers->stop();
   Inner->stop();
@@ -111,7 +125,10 @@
   if (Draining)
     return {StatusUnavailable, {}, "shutting down\n"};
   if (!Config.get())
-    return {StatusUnavailable, {}, "no configuration in force yet\n"};
+    return {StatusUnavailable,
+            {},
+            "no configuration in force yet; platform: " + Sync->lastAnswer() +
+                "; " + Relay->peersTried() + "\n"};
   return {StatusOk, {}, "ready\n"};
 }
 
@@ -148,6 +165,8 @@
 
 void Daemon::serveInner(const http::Request &request,
                         const http::Respond &respond) {
+  if (Relay->serve(request, respond))
+    return;
   if (request.Path == messages::PeerPath) {
     auto config = Config.get();
     messages::PeerInfo info{Peers.self(), config ? config->Revision : 0};
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 #define PERIDOTFALL_DAEMON_DAEMON_H
 
 #include "config/in_force.h"
+#include "daemon/configuration_relay.h"
 #include "daemon/fleet.h"
 #include "daemon/options.h"
 #include "daemon/owner.h"
@@ -16,6 +17,7 @@
 #include "http/loops.h"
 #include "http/server.h"
 #include "peridotfall/clock.h"
+#include "platform/guarded.h"
 
 #include <atomic>
 #include <memory>
@@ -37,6 +39,11 @@
 
   std::uint16_t callerPort() const { return Callers->port(); }
   std::uint16_t innerPort() const { return Inner->port(); }
+  /// \return the revision in force; 0: none.
+  std::uint64_t revision() const {
+    auto it = Config.get();
+    return it ? it->Revision : 0;
+  }
 
 private:
   void serveCaller(http::Request request, const http::Respond &respond);
@@ -55,6 +62,9 @@
   std::shared_ptr<Owner> Local;
   std::shared_ptr<Router> Routes;
   std::shared_ptr<Prober> Probes;
+  std::shared_ptr<platform::CallCounts> PlatformCalls;
+  platform::Api PlatformApi;
+  std::shared_ptr<ConfigurationRelay> Relay;
   std::shared_ptr<PlatformSync> Sync;
   std::shared_ptr<http::Server> Callers;
   std::shared_ptr<http::Server> Inner;
--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -1,53 +1,97 @@
 #include "daemon/fleet.h"
 
+#include "peridotfall/limits.h"
+
 #include <algorithm>
-#include <utility>
 
 namespace peridotfall {
 
-Fleet::Fleet(http::Loops &loops, Member self, http::ChannelOptions options)
-    : Loops(loops), Self(std::move(self)),
-      Options(std::move(options)), Members{Self} {}
+namespace {
+
+/// Ranks kept for a target: the owner and enough to step in.
+constexpr std::size_t MostRanks = 8;
+/// Longer than any request may run, so that no call in flight is cut. Load:
+/// comparing with random peers reaches all 1,700 daemons in an hour; kept
+/// open, their connections would be most of a small VM's memory.
+constexpr auto IdleLimit = 2 * limits::MaxDeadline;
+
+} // namespace
+
+Fleet::Fleet(http::Loops &loops, Member self, http::ChannelOptions options,
+             MembershipOptions membership)
+    : Loops(loops), Self(std::move(self)), Options(std::move(options)),
+      View(Self, membership, Self.Incarnation) {}
 
 std::vector<Member> Fleet::members() const {
   std::lock_guard guard(Lock);
-  return Members;
+  return View.live();
 }
 
-bool Fleet::setMembers(std::vector<Member> members) {
-  std::sort(members.begin(), members.end());
+bool Fleet::setMembers(const std::vector<Member> &members) {
   std::lock_guard guard(Lock);
-  if (members == Members)
-    return false;
-  Members = std::move(members);
-  return true;
+  auto before = View.generation();
+  View.takeList(members, Time.now());
+  return View.generation() != before;
 }
 
 std::optional<Member> Fleet::find(const VmName &vm) const {
   std::lock_guard guard(Lock);
-  auto it = std::find_if(Members.begin(), Members.end(),
-                         [&](const Member &n) { return n.Vm == vm; });
-  return it == Members.end() ? std::nullopt : std::optional(*it);
+  return View.findMember(vm);
 }
 
 std::vector<Member> Fleet::ranked(const Configuration &config,
                                   const TargetConfig &target) const {
-  return rankOwners(members(), target.Name, target.Domain,
-                    regionOf(config, target.Domain));
+  std::lock_guard guard(Lock);
+  auto &it = RankCache[target.Name];
+  if (it.Generation == View.generation() && it.Revision == config.Revision)
+    return it.Members;
+  auto live = View.live();
+  for (auto &member : live)
+    member.Leaving |= isDrained(config, member.Vm);
+  it = {View.generation(), config.Revision,
+        rankOwners(live, target.Name, target.Domain,
+                   regionOf(config, target.Domain))};
+  if (it.Members.size() > MostRanks)
+    it.Members.resize(MostRanks);
+  return it.Members;
 }
 
-std::shared_ptr<http::Channel> Fleet::channel(const std::string &address) {
+void Fleet::listeningOn(std::uint16_t port) {
+  auto address = Self.InnerAddress;
+  auto host = address.substr(0, address.rfind(':'));
+  // Who listens on all addresses names none; others go by the list of VMs.
+  bool any = host == "0.0.0.0" || host == "[::]";
   std::lock_guard guard(Lock);
+  View.setOwnAddress(any ? "" : host + ":" + std::to_string(port));
+}
+
+std::shared_ptr<http::Channel> Fleet::channel(const std::string &address) {
+  std::lock_guard guard(ChannelLock);
   auto &it = Channels[address];
-  if (!it)
-    it = std::make_shared<http::Channel>(Loops.next(), address, Options);
-  return it;
+  if (!it.Channel)
+    it.Channel =
+        std::make_shared<http::Channel>(Loops.next(), address, Options);
+  it.UsedAt = Time.now();
+  return it.Channel;
+}
+
+void Fleet::closeIdle() {
+  std::lock_guard guard(ChannelLock);
+  auto now = Time.now();
+  for (auto it = Channels.begin(); it != Channels.end();) {
+    if (now - it->second.UsedAt < IdleLimit) {
+      ++it;
+      continue;
+    }
+    it->second.Channel->close();
+    it = Channels.erase(it);
+  }
 }
 
 void Fleet::close() {
-  std::lock_guard guard(Lock);
+  std::lock_guard guard(ChannelLock);
   for (auto &[address, it] : Channels)
-    it->close();
+    it.Channel->close();
   Channels.clear();
 }
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -16,6 +16,9 @@
 DEFINE_string(listen, "127.0.0.1:8080", "address for callers");
 DEFINE_string(listen_inner, "127.0.0.1:8081", "address for other daemons");
 DEFINE_string(platform, "", "address of the platform's object API");
+DEFINE_string(peers, "",
+              "inner addresses of some other daemons, ADDRESS,...; asked for "
+              "the configuration where the platform is down at the start");
 DEFINE_string(token_keys, "",
               "keys of session tokens, ID:SECRET,...; the first signs. "
               "Better given as PERIDOTFALL_TOKEN_KEYS than on the command "
@@ -65,6 +68,7 @@
   it.ListenCallers = FLAGS_listen;
   it.ListenInner = FLAGS_listen_inner;
   it.Platform = FLAGS_platform;
+  it.Peers = FLAGS_peers;
   it.TokenKeys = FLAGS_token_keys;
   it.Threads = FLAGS_threads;
   it.ProbeMs = FLAGS_probe_ms;
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <sstream>
 
 namespace peridotfall {
 
@@ -26,6 +27,14 @@
         {flag, "an IP number and port, as 10.0.0.1:8080", "'" + value + "'"});
 }
 
+std::vector<std::string> splitList(const std::string &text) {
+  std::vector<std::string> out;
+  std::istringstream in(text);
+  for (std::string it; std::getline(in, it, ',');)
+    out.push_back(it);
+  return out;
+}
+
 void checkRange(const char *flag, std::uint32_t value, std::uint32_t least,
                 std::uint32_t most, Findings &findings) {
   if (value < least || value > most)
@@ -46,6 +55,8 @@
   checkAddress("--listen", settings.ListenCallers, findings);
   checkAddress("--listen_inner", settings.ListenInner, findings);
   checkAddress("--platform", settings.Platform, findings);
+  for (const auto &it : splitList(settings.Peers))
+    checkAddress("--peers", it, findings);
   checkRange("--threads", settings.Threads, 1, MostThreads, findings);
   checkRange("--probe_ms", settings.ProbeMs, 10, MostProbeMs, findings);
   auto keys = parseTokenKeys(settings.TokenKeys);
@@ -64,6 +75,7 @@
   out.ListenCallers = settings.ListenCallers;
   out.ListenInner = settings.ListenInner;
   out.Platform = settings.Platform;
+  out.Peers = splitList(settings.Peers);
   out.Keys = keys.value();
   out.Threads = settings.Threads;
   out.ProbeInterval = std::chrono::milliseconds(settings.ProbeMs);
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <compare>
 #include <string>
+#include <vector>
 
 namespace peridotfall {
 
@@ -22,6 +23,7 @@
   std::string ListenCallers;
   std::string ListenInner;
   std::string Platform;
+  std::string Peers;
   std::string TokenKeys;
   std::uint32_t Threads = 2;
   std::uint32_t ProbeMs = 200;
@@ -35,6 +37,7 @@
   std::string ListenCallers = "127.0.0.1:0";
   std::string ListenInner = "127.0.0.1:0";
   std::string Platform;
+  std::vector<std::string> Peers; ///< Asked where the platform is down.
   TokenKeys Keys;
   unsigned Threads = 2;
   std::chrono::milliseconds ProbeInterval{200};
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -281,6 +281,12 @@
 
 MemberRecord Membership::self() const { return Entries.at(Self).Record; }
 
+std::optional<Member> Membership::findMember(const VmName &vm) const {
+  auto it = Entries.find(vm);
+  return it == Entries.end() ? std::nullopt
+                             : std::optional(effective(it->second));
+}
+
 bool Membership::isSuspected(const VmName &vm) const {
   auto it = Entries.find(vm);
   return it != Entries.end() && suspected(it->second.Record);
--- a/src/messages/inner.cpp
+++ b/src/messages/inner.cpp
@@ -175,27 +175,4 @@
   return it;
 }
 
-std::string encode(const PeerInfo &it) {
-  inner::PeerState out;
-  out.set_vm(it.Self.Vm.Value);
-  out.set_domain(it.Self.Domain.Value);
-  out.set_region(it.Self.Region.Value);
-  out.set_address(it.Self.InnerAddress);
-  out.set_incarnation(it.Self.Incarnation);
-  out.set_leaving(it.Self.Leaving);
-  out.set_revision(it.Revision);
-  return out.SerializeAsString();
-}
-
-Result<PeerInfo> decodePeerInfo(const std::string &bytes) {
-  inner::PeerState in;
-  if (!in.ParseFromString(bytes))
-    return malformed();
-  PeerInfo it;
-  it.Self = {VmName(in.vm()), DomainName(in.domain()), RegionName(in.region()),
-             in.address(),    in.incarnation(),        in.leaving()};
-  it.Revision = in.revision();
-  return it;
-}
-
 } // namespace peridotfall::messages
--- /dev/null
+++ b/src/messages/news.cpp
@@ -0,0 +1,138 @@
+// Messages of the membership and the configuration.
+
+#include "messages/inner.h"
+
+namespace peridotfall::messages {
+
+namespace {
+
+Error malformed() { return {ErrorCode::Invalid, "inner message: malformed"}; }
+
+void put(inner::PeerState *out, const Member &it) {
+  out->set_vm(it.Vm.Value);
+  out->set_domain(it.Domain.Value);
+  out->set_region(it.Region.Value);
+  out->set_address(it.InnerAddress);
+  out->set_incarnation(it.Incarnation);
+  out->set_leaving(it.Leaving);
+  out->set_serves_target(it.ServesTarget);
+}
+
+Member take(const inner::PeerState &in) {
+  Member it;
+  it.Vm = VmName(in.vm());
+  it.Domain = DomainName(in.domain());
+  it.Region = RegionName(in.region());
+  it.InnerAddress = in.address();
+  it.Incarnation = in.incarnation();
+  it.Leaving = in.leaving();
+  it.ServesTarget = in.serves_target();
+  return it;
+}
+
+void put(inner::MemberState *out, const MemberRecord &it) {
+  put(out->mutable_member(), it.It);
+  out->set_version(it.Version);
+  for (const auto &vm : it.Suspecting)
+    out->add_suspecting(vm.Value);
+}
+
+MemberRecord take(const inner::MemberState &in) {
+  MemberRecord it;
+  it.It = take(in.member());
+  it.Version = in.version();
+  for (const auto &vm : in.suspecting())
+    it.Suspecting.insert(VmName(vm));
+  return it;
+}
+
+} // namespace
+
+std::string encode(const PeerInfo &it) {
+  inner::PeerState out;
+  put(&out, it.Self);
+  out.set_revision(it.Revision);
+  return out.SerializeAsString();
+}
+
+Result<PeerInfo> decodePeerInfo(const std::string &bytes) {
+  inner::PeerState in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  return PeerInfo{take(in), in.revision()};
+}
+
+std::string encode(const News &it) {
+  inner::News out;
+  put(out.mutable_from(), it.From);
+  out.set_revision(it.Revision);
+  out.set_list_stamp(it.ListStamp);
+  out.set_list_digest(it.ListDigest);
+  for (const auto &record : it.Members)
+    put(out.add_members(), record);
+  out.set_tree_id(it.TreeId);
+  out.set_tree_root(it.Along.Root.Value);
+  out.set_domain_only(it.Along.DomainOnly);
+  out.set_holder(it.Holder);
+  return out.SerializeAsString();
+}
+
+Result<News> decodeNews(const std::string &bytes) {
+  inner::News in;
+  if (!in.ParseFromString(bytes) || in.from().member().vm().empty())
+    return malformed();
+  News it;
+  it.From = take(in.from());
+  it.Revision = in.revision();
+  it.ListStamp = in.list_stamp();
+  it.ListDigest = in.list_digest();
+  for (const auto &record : in.members())
+    if (!record.member().vm().empty())
+      it.Members.push_back(take(record));
+  it.TreeId = in.tree_id();
+  it.Along = {VmName(in.tree_root()), in.domain_only()};
+  it.Holder = in.holder();
+  return it;
+}
+
+std::string encode(const VmList &it) {
+  inner::VmList out;
+  out.set_stamp(it.Stamp);
+  for (const auto &member : it.Members)
+    put(out.add_members(), member);
+  return out.SerializeAsString();
+}
+
+Result<VmList> decodeVmList(const std::string &bytes) {
+  inner::VmList in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  VmList it;
+  it.Stamp = in.stamp();
+  for (const auto &member : in.members()) {
+    if (member.vm().empty())
+      return malformed();
+    it.Members.push_back(take(member));
+  }
+  return it;
+}
+
+std::string encode(const Configuration &it) {
+  inner::ConfigurationText out;
+  out.set_revision(it.Revision);
+  out.set_json(writeConfiguration(it));
+  return out.SerializeAsString();
+}
+
+Result<Configuration> decodeConfiguration(const std::string &bytes) {
+  inner::ConfigurationText in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  auto parsed = parseConfiguration(in.json());
+  if (!parsed)
+    return Error{ErrorCode::Invalid,
+                 describe(parsed.error().front(), "configuration")};
+  return std::move(parsed.value());
+}
+
+} // namespace peridotfall::messages
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -53,6 +53,7 @@
   member.Region = RegionName(it.text("region"));
   member.InnerAddress = it.text("address");
   member.Leaving = it.flagOr("leaving", false);
+  member.ServesTarget = it.flagOr("servesTarget", false);
   return member;
 }
 
