--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include "platform/http_platform.h"
 #include "target/http_target.h"
 #include "telemetry/events.h"
+#include "telemetry/platform_calls.h"
 
 #include <thread>
 #include <utility>
@@ -13,13 +14,16 @@
 
 namespace {
 
+using telemetry::Direction;
 using telemetry::Event;
 using telemetry::field;
+using telemetry::Link;
 
 constexpr int StatusOk = 200;
 constexpr int StatusBad = 400;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
+constexpr auto MetricsPath = "/metrics";
 
 std::uint64_t startTime() {
   auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -41,22 +45,26 @@
 
 } // namespace
 
-Daemon::Daemon(DaemonOptions options)
+Daemon::Daemon(DaemonOptions options, const DaemonTls &tls)
     : Options(std::move(options)), Loops(Options.Threads),
       Apis([this](const std::string &address) {
         return target::makeHttpTarget(Loops.next(), address);
       }),
-      Peers(Loops, selfOf(Options), {}),
+      Peers(Loops, selfOf(Options), {.Tls = tls.InnerClient}),
       Local(
           std::make_shared<Owner>(Time, Options.Self.Vm, Config, Apis, Views)),
       Routes(
           std::make_shared<Router>(Loops, Time, Config, Peers, Views, *Local)),
-      Probes(std::make_shared<Prober>(Loops.at(0), Time, Config, Peers, Apis,
-                                      Views, Options.ProbeInterval)),
-      PlatformCalls(std::make_shared<platform::CallCounts>()),
-      PlatformApi(platform::makeGuarded(
+      Failover(std::make_shared<FailoverDriver>(
+          Loops.at(0), Time, Config, Peers, Apis, Views,
           platform::makeHttpPlatform(Loops.at(0),
                                      {.Address = Options.Platform}),
+          failover::timingsFor(Options.ProbeInterval))),
+      PlatformCalls(std::make_shared<platform::CallCounts>()),
+      PlatformApi(platform::makeGuarded(
+          telemetry::countCalls(platform::makeHttpPlatform(
+                                    Loops.at(0), {.Address = Options.Platform}),
+                                Counts),
           Loops.at(0), Time, guardOptions(Peers.self()), PlatformCalls)),
       Relay(std::make_shared<ConfigurationRelay>(Loops.at(0), Time, Config,
                                                  Peers, Options.Peers)),
@@ -64,12 +72,14 @@
                                           Peers)) {
   http::ServerOptions callers;
   callers.Address = Options.ListenCallers;
+  callers.Tls = tls.Callers;
   Callers = std::make_shared<http::Server>(
       Loops, callers, [this](http::Request request, http::Respond respond) {
         serveCaller(std::move(request), respond);
       });
   http::ServerOptions inner;
   inner.Address = Options.ListenInner;
+  inner.Tls = tls.InnerServer;
   inner.MaxStreams = limits::MaxInnerStreams;
   inner.MaxBody = limits::MaxAnswerBody;
   Inner = std::make_shared<http::Server>(
@@ -93,7 +103,7 @@
   Peers.listeningOn(innerPort());
   Relay->start();
   Sync->start();
-  Probes->start();
+  Failover->start([owner = Local] { owner->giveUpLate(); });
   telemetry::log(Event::Started,
                  {field("vm", Options.Self.Vm.Value),
                   field("callers", callerPort()), field("inner", innerPort())});
@@ -110,7 +120,7 @@
   while ((Serving > 0 || Local->inFlight() > 0) && Time.now() < end)
     std::this_thread::sleep_for(Step);
   bool finished = Serving == 0 && Local->inFlight() == 0;
-  Probes->stop();
+  Failover->stop();
   Sync->stop();
   Relay->stop();
   Inner->drain();
@@ -132,11 +142,28 @@
   return {StatusOk, {}, "ready\n"};
 }
 
+Stats Daemon::stats() {
+  auto config = Config.get();
+  Counts.Revision->Set(config ? static_cast<double>(config->Revision) : 0);
+  Counts.CallerConnections->Set(static_cast<double>(Callers->connections()));
+  Counts.RequestsInFlight->Set(static_cast<double>(Serving.load()));
+  return telemetry::readStats(Counts);
+}
+
+http::Response Daemon::metricsText() {
+  stats();
+  return {StatusOk,
+          {{"content-type", "text/plain; version=0.0.4"}},
+          telemetry::writeText(Counts)};
+}
+
 void Daemon::serveCaller(http::Request request, const http::Respond &respond) {
   if (request.Path == "/healthz")
     respond({StatusOk, {}, "ok\n"});
   else if (request.Path == "/readyz")
     respond(readiness());
+  else if (request.Path == MetricsPath)
+    respond(metricsText());
   else
     serveStatement(request, respond);
 }
@@ -150,17 +177,25 @@
     return;
   }
   ++Serving;
+  telemetry::countBytes(Counts, Link::Callers, Direction::In,
+                        request.Body.size());
   const auto &in = parsed.value();
   auto entry = in.Session.Databases.find(in.Statement.Database);
   RoutedRequest routed{in.Statement,
                        entry == in.Session.Databases.end() ? SessionEntry{}
                                                            : entry->second,
                        request.Gone};
-  Routes->route(std::move(routed),
-                [this, in, respond](const StatementAnswer &answer) {
-                  respond(makeResponse(in, answer, Options.Keys));
-                  --Serving;
-                });
+  Routes->route(std::move(routed), [this, in, respond, begun = Time.now()](
+                                       const StatementAnswer &answer) {
+    auto view = Views.get(in.Statement.Database);
+    telemetry::countAnswer(Counts, in.Statement, answer, Time.now() - begun,
+                           answer.ServedBy != view.Primary);
+    auto out = makeResponse(in, answer, Options.Keys);
+    telemetry::countBytes(Counts, Link::Callers, Direction::Out,
+                          out.Body.size());
+    respond(std::move(out));
+    --Serving;
+  });
 }
 
 void Daemon::serveInner(const http::Request &request,
@@ -174,6 +209,15 @@
     respond({StatusOk, {}, messages::encode(info)});
     return;
   }
+  if (request.Path == messages::GroupViewPath) {
+    auto body = Failover->answerView(request.Body);
+    respond({body ? StatusOk : StatusNotFound, {}, body.value_or("")});
+    return;
+  }
+  if (request.Path == MetricsPath) {
+    respond(metricsText());
+    return;
+  }
   if (request.Path != messages::StatementPath) {
     respond({StatusNotFound, {}, ""});
     return;
@@ -183,9 +227,14 @@
     respond({StatusBad, {}, ""});
     return;
   }
+  telemetry::countBytes(Counts, Link::Inner, Direction::In,
+                        request.Body.size());
   Local->execute(std::move(decoded.value()), request.Gone,
-                 [respond](const StatementAnswer &answer) {
-                   respond({StatusOk, {}, messages::encode(answer)});
+                 [this, respond](const StatementAnswer &answer) {
+                   auto body = messages::encode(answer);
+                   telemetry::countBytes(Counts, Link::Inner, Direction::Out,
+                                         body.size());
+                   respond({StatusOk, {}, std::move(body)});
                  });
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -6,18 +6,20 @@
 
 #include "config/in_force.h"
 #include "daemon/configuration_relay.h"
+#include "daemon/failover_driver.h"
 #include "daemon/fleet.h"
 #include "daemon/options.h"
 #include "daemon/owner.h"
 #include "daemon/platform_sync.h"
-#include "daemon/prober.h"
 #include "daemon/router.h"
 #include "daemon/targets.h"
 #include "daemon/views.h"
 #include "http/loops.h"
 #include "http/server.h"
 #include "peridotfall/clock.h"
+#include "peridotfall/stats.h"
 #include "platform/guarded.h"
+#include "telemetry/metrics.h"
 
 #include <atomic>
 #include <memory>
@@ -26,7 +28,7 @@
 
 class Daemon {
 public:
-  explicit Daemon(DaemonOptions options);
+  explicit Daemon(DaemonOptions options, const DaemonTls &tls = {});
   ~Daemon();
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
@@ -44,8 +46,11 @@
     auto it = Config.get();
     return it ? it->Revision : 0;
   }
+  /// What it has done so far.
+  Stats stats();
 
 private:
+  http::Response metricsText();
   void serveCaller(http::Request request, const http::Respond &respond);
   void serveStatement(const http::Request &request,
                       const http::Respond &respond);
@@ -54,6 +59,7 @@
 
   const DaemonOptions Options;
   SystemClock Time;
+  telemetry::Metrics Counts = telemetry::makeMetrics();
   http::Loops Loops;
   ConfigurationInForce Config;
   GroupViews Views;
@@ -61,7 +67,7 @@
   Fleet Peers;
   std::shared_ptr<Owner> Local;
   std::shared_ptr<Router> Routes;
-  std::shared_ptr<Prober> Probes;
+  std::shared_ptr<FailoverDriver> Failover;
   std::shared_ptr<platform::CallCounts> PlatformCalls;
   platform::Api PlatformApi;
   std::shared_ptr<ConfigurationRelay> Relay;
