--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 #define PERIDOTFALL_DAEMON_DAEMON_H
 
 #include "config/in_force.h"
+#include "daemon/configuration_relay.h"
 #include "daemon/failover_driver.h"
 #include "daemon/fleet.h"
 #include "daemon/options.h"
@@ -17,6 +18,7 @@
 #include "http/server.h"
 #include "peridotfall/clock.h"
 #include "peridotfall/stats.h"
+#include "platform/guarded.h"
 #include "telemetry/metrics.h"
 
 #include <atomic>
@@ -39,6 +41,11 @@
 
   std::uint16_t callerPort() const { return Callers->port(); }
   std::uint16_t innerPort() const { return Inner->port(); }
+  /// \return the revision in force; 0: none.
+  std::uint64_t revision() const {
+    auto it = Config.get();
+    return it ? it->Revision : 0;
+  }
   /// What it has done so far.
   Stats stats();
 
@@ -61,6 +68,9 @@
   std::shared_ptr<Owner> Local;
   std::shared_ptr<Router> Routes;
   std::shared_ptr<FailoverDriver> Failover;
+  std::shared_ptr<platform::CallCounts> PlatformCalls;
+  platform::Api PlatformApi;
+  std::shared_ptr<ConfigurationRelay> Relay;
   std::shared_ptr<PlatformSync> Sync;
   std::shared_ptr<http::Server> Callers;
   std::shared_ptr<http::Server> Inner;
