--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,18 +39,22 @@
 
 } // namespace
 
-Daemon::Daemon(DaemonOptions options)
+Daemon::Daemon(DaemonOptions options, const DaemonTls &tls)
     : Options(std::move(options)), Loops(Options.Threads),
       Apis([this](const std::string &address) {
         return target::makeHttpTarget(Loops.next(), address);
       }),
-      Peers(Loops, selfOf(Options), {}),
+      Peers(Loops, selfOf(Options), {.Tls = tls.InnerClient}),
       Local(
           std::make_shared<Owner>(Time, Options.Self.Vm, Config, Apis, Views)),
       Routes(
           std::make_shared<Router>(Loops, Time, Config, Peers, Views, *Local)),
-      Probes(std::make_shared<Prober>(Loops.at(0), Time, Config, Peers, Apis,
-                                      Views, Options.ProbeInterval)),
+      Failover(std::make_shared<FailoverDriver>(
+          Loops.at(0), Time, Config, Peers, Apis, Views,
+          telemetry::countCalls(platform::makeHttpPlatform(
+                                    Loops.at(0), {.Address = Options.Platform}),
+                                Counts),
+          failover::timingsFor(Options.ProbeInterval))),
       Sync(std::make_shared<PlatformSync>(
           Loops.at(0),
           telemetry::countCalls(platform::makeHttpPlatform(
@@ -59,12 +63,14 @@
           Config, Peers)) {
   http::ServerOptions callers;
   callers.Address = Options.ListenCallers;
+  callers.Tls = tls.Callers;
   Callers = std::make_shared<http::Server>(
       Loops, callers, [this](http::Request request, http::Respond respond) {
         serveCaller(std::move(request), respond);
       });
   http::ServerOptions inner;
   inner.Address = Options.ListenInner;
+  inner.Tls = tls.InnerServer;
   inner.MaxStreams = limits::MaxInnerStreams;
   inner.MaxBody = limits::MaxAnswerBody;
   Inner = std::make_shared<http::Server>(
@@ -86,7 +92,7 @@
   if (!findings.empty())
     return findings;
   Sync->start();
-  Probes->start();
+  Failover->start([owner = Local] { owner->giveUpLate(); });
   telemetry::log(Event::Started,
                  {field("vm", Options.Self.Vm.Value),
                   field("callers", callerPort()), field("inner", innerPort())});
@@ -102,7 +108,7 @@
   while ((Serving > 0 || Local->inFlight() > 0) && Time.now() < end)
     std::this_thread::sleep_for(Step);
   bool finished = Serving == 0 && Local->inFlight() == 0;
-  Probes->stop();
+  Failover->stop();
   Sync->stop();
   Inner->drain();
   Callers->stop();
@@ -189,6 +195,11 @@
     respond(metricsText());
     return;
   }
+  if (request.Path == messages::GroupViewPath) {
+    auto body = Failover->answerView(request.Body);
+    respond({body ? StatusOk : StatusNotFound, {}, body.value_or("")});
+    return;
+  }
   if (request.Path != messages::StatementPath) {
     respond({StatusNotFound, {}, ""});
     return;
