--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -191,15 +191,15 @@
     respond({StatusOk, {}, messages::encode(info)});
     return;
   }
-  if (request.Path == MetricsPath) {
-    respond(metricsText());
-    return;
-  }
   if (request.Path == messages::GroupViewPath) {
     auto body = Failover->answerView(request.Body);
     respond({body ? StatusOk : StatusNotFound, {}, body.value_or("")});
     return;
   }
+  if (request.Path == MetricsPath) {
+    respond(metricsText());
+    return;
+  }
   if (request.Path != messages::StatementPath) {
     respond({StatusNotFound, {}, ""});
     return;
