Trace a request over its hops and send the spans to a collector

Cause: a slow or lost order goes through two daemons and a target, and no log line tells which of them it was.

Ruled out: an OpenTelemetry library, as the package manager has none that fits; resending spans of a failed message, since a collector that took them and lost the answer would show them twice.

Spans at the entry, at the inner service and for each statement sent to a target. The hops queue and confirmation have names and no caller yet: they belong into the owner.

One order over two daemons gives three spans of one trace, each the parent of the next.

Conclusion: partial; two of five hops are missing.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,6 +6,7 @@
 #include "target/http_target.h"
 #include "telemetry/events.h"
 #include "telemetry/platform_calls.h"
+#include "telemetry/target_spans.h"
 
 #include <thread>
 #include <utility>
@@ -41,8 +42,14 @@
 
 Daemon::Daemon(DaemonOptions options, const DaemonTls &tls)
     : Options(std::move(options)), Loops(Options.Threads),
+      Traces(std::make_shared<telemetry::Tracer>(
+          Loops.at(0),
+          telemetry::TraceOptions{.Collector = Options.Collector,
+                                  .Vm = Options.Self.Vm,
+                                  .SampleOneIn = Options.TraceOneIn})),
       Apis([this](const std::string &address) {
-        return target::makeHttpTarget(Loops.next(), address);
+        return telemetry::traceStatements(
+            target::makeHttpTarget(Loops.next(), address), Traces);
       }),
       Peers(Loops, selfOf(Options), {.Tls = tls.InnerClient}),
       Local(
@@ -91,6 +98,7 @@
         {"--listen_inner", "an address that is free", ec.message()});
   if (!findings.empty())
     return findings;
+  Traces->start();
   Sync->start();
   Failover->start([owner = Local] { owner->giveUpLate(); });
   telemetry::log(Event::Started,
@@ -110,6 +118,7 @@
   bool finished = Serving == 0 && Local->inFlight() == 0;
   Failover->stop();
   Sync->stop();
+  Traces->stop();
   Inner->drain();
   Callers->stop();
   Inner->stop();
@@ -134,6 +143,16 @@
   return telemetry::readStats(Counts);
 }
 
+void Daemon::finish(telemetry::Span span, const StatementAnswer &answer,
+                    http::Response &out) {
+  if (!span.traceparent().empty())
+    out.Fields.push_back({"traceparent", span.traceparent()});
+  span.Attributes = {{"peridotfall.outcome", toString(answer.Effect)},
+                     {"peridotfall.code", toString(answer.Code)},
+                     {"peridotfall.served_by", answer.ServedBy.Value}};
+  Traces->finishSpan(std::move(span));
+}
+
 http::Response Daemon::metricsText() {
   stats();
   return {StatusOk,
@@ -169,17 +188,22 @@
                        entry == in.Session.Databases.end() ? SessionEntry{}
                                                            : entry->second,
                        request.Gone};
-  Routes->route(std::move(routed), [this, in, respond, begun = Time.now()](
-                                       const StatementAnswer &answer) {
-    auto view = Views.get(in.Statement.Database);
-    telemetry::countAnswer(Counts, in.Statement, answer, Time.now() - begun,
-                           answer.ServedBy != view.Primary);
-    auto out = makeResponse(in, answer, Options.Keys);
-    telemetry::countBytes(Counts, Link::Callers, Direction::Out,
-                          out.Body.size());
-    respond(std::move(out));
-    --Serving;
-  });
+  auto span =
+      Traces->startSpan(telemetry::Hop::Entry, in.Statement.Traceparent);
+  routed.Request.Traceparent = span.traceparent();
+  Routes->route(
+      std::move(routed), [this, in, respond, span = std::move(span),
+                          begun = Time.now()](const StatementAnswer &answer) {
+        auto view = Views.get(in.Statement.Database);
+        telemetry::countAnswer(Counts, in.Statement, answer, Time.now() - begun,
+                               answer.ServedBy != view.Primary);
+        auto out = makeResponse(in, answer, Options.Keys);
+        telemetry::countBytes(Counts, Link::Callers, Direction::Out,
+                              out.Body.size());
+        finish(span, answer, out);
+        respond(std::move(out));
+        --Serving;
+      });
 }
 
 void Daemon::serveInner(const http::Request &request,
@@ -211,13 +235,17 @@
   }
   telemetry::countBytes(Counts, Link::Inner, Direction::In,
                         request.Body.size());
-  Local->execute(std::move(decoded.value()), request.Gone,
-                 [this, respond](const StatementAnswer &answer) {
-                   auto body = messages::encode(answer);
-                   telemetry::countBytes(Counts, Link::Inner, Direction::Out,
-                                         body.size());
-                   respond({StatusOk, {}, std::move(body)});
-                 });
+  auto span =
+      Traces->startSpan(telemetry::Hop::Inner, decoded.value().Traceparent);
+  decoded.value().Traceparent = span.traceparent();
+  Local->execute(
+      std::move(decoded.value()), request.Gone,
+      [this, respond, span = std::move(span)](const StatementAnswer &answer) {
+        Traces->finishSpan(span);
+        auto body = messages::encode(answer);
+        telemetry::countBytes(Counts, Link::Inner, Direction::Out, body.size());
+        respond({StatusOk, {}, std::move(body)});
+      });
 }
 
 } // namespace peridotfall
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -18,6 +18,7 @@
 #include "peridotfall/clock.h"
 #include "peridotfall/stats.h"
 #include "telemetry/metrics.h"
+#include "telemetry/trace.h"
 
 #include <atomic>
 #include <memory>
@@ -44,6 +45,9 @@
 
 private:
   http::Response metricsText();
+  /// Ends the entry's span and tells the caller of its trace.
+  void finish(telemetry::Span span, const StatementAnswer &answer,
+              http::Response &out);
   void serveCaller(http::Request request, const http::Respond &respond);
   void serveStatement(const http::Request &request,
                       const http::Respond &respond);
@@ -54,6 +58,7 @@
   SystemClock Time;
   telemetry::Metrics Counts = telemetry::makeMetrics();
   http::Loops Loops;
+  std::shared_ptr<telemetry::Tracer> Traces;
   ConfigurationInForce Config;
   GroupViews Views;
   Targets Apis;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -28,6 +28,12 @@
 DEFINE_bool(plain_text, false,
             "listen without TLS on an address that is not loopback");
 DEFINE_uint32(threads, 2, "event loops, one a thread");
+DEFINE_string(collector, "",
+              "address of an OTLP collector that speaks HTTP/2; empty: no "
+              "traces are sent");
+DEFINE_uint32(trace_one_in, 0,
+              "of requests without a traceparent, trace one in so many; 0: "
+              "none");
 DEFINE_uint32(probe_ms, 150, "milliseconds between probes of a target");
 DEFINE_uint32(shutdown_ms, 10000, "longest wait for requests in flight");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
@@ -78,6 +84,8 @@
   it.PlainText = FLAGS_plain_text;
   it.Threads = FLAGS_threads;
   it.ProbeMs = FLAGS_probe_ms;
+  it.Collector = FLAGS_collector;
+  it.TraceOneIn = FLAGS_trace_one_in;
   return it;
 }
 
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -76,6 +76,8 @@
   checkAddress("--listen_inner", settings.ListenInner, findings);
   checkAddress("--platform", settings.Platform, findings);
   checkRange("--threads", settings.Threads, 1, MostThreads, findings);
+  if (!settings.Collector.empty())
+    checkAddress("--collector", settings.Collector, findings);
   checkRange("--probe_ms", settings.ProbeMs, 10, MostProbeMs, findings);
   checkTls("--tls", settings.CallerTls, false, findings);
   checkTls("--inner", settings.InnerTls, true, findings);
@@ -103,6 +105,8 @@
   out.CallerTls = settings.CallerTls;
   out.InnerTls = settings.InnerTls;
   out.Threads = settings.Threads;
+  out.Collector = settings.Collector;
+  out.TraceOneIn = settings.TraceOneIn;
   out.ProbeInterval = std::chrono::milliseconds(settings.ProbeMs);
   return out;
 }
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -29,6 +29,8 @@
   bool PlainText = false; ///< Said outright; else only on loopback.
   std::uint32_t Threads = 2;
   std::uint32_t ProbeMs = 150;
+  std::string Collector; ///< Of traces; empty: none.
+  std::uint32_t TraceOneIn = 0;
 
   auto operator<=>(const DaemonSettings &) const = default;
 };
@@ -44,6 +46,8 @@
   http::TlsFiles InnerTls;  ///< Empty: plain text. Else mutual.
   unsigned Threads = 2;
   std::chrono::milliseconds ProbeInterval{150};
+  std::string Collector;        ///< Of traces; empty: none.
+  std::uint32_t TraceOneIn = 0; ///< Requests sampled here: one in so many.
 
   auto operator<=>(const DaemonOptions &) const = default;
 };
