--- a/src/failover/campaign.cpp
+++ b/src/failover/campaign.cpp
@@ -39,7 +39,6 @@
 /// Goes on with a later term of the replica that has more.
 void switchNominee(GroupState &group, TimePoint now, Actions &out) {
   auto to = nameOfHighest(*group.Running);
-  auto old = group.Running->OldPrimary;
   auto candidate = candidateFor(group, to);
   if (candidate.InTerm == 0) {
     failCampaign(group, now, out);
@@ -114,8 +113,8 @@
   // Failure: this owner is cut off together with one replica. Symptom: it
   // fences that replica for nothing, and the primary loses a confirmer. Where
   // no majority answers no campaign can succeed, so none begins.
-  return answering >= majorityOf(group.Targets.size()) ? best->Name
-                                                       : TargetName{};
+  return best && answering >= majorityOf(group.Targets.size()) ? best->Name
+                                                               : TargetName{};
 }
 
 bool beginCampaign(GroupState &group, const TargetName &nominee, TimePoint now,
--- a/src/failover/confirmation.cpp
+++ b/src/failover/confirmation.cpp
@@ -83,11 +83,11 @@
 
 /// Failure: a replica was fenced into the term with a tail of an older one.
 /// Symptom: it has the length of the log and not the content, and an
-/// acknowledged write is on one target only. A last record of the term itself
-/// was copied from this term's primary, and so was all before it.
+/// acknowledged write is on one target only. Positions compare by the term of
+/// the last record first; one of this term was copied from its primary, and
+/// so was all before it.
 bool holds(const TargetReport &replica, Position at) {
-  return replica.CurrentTerm == at.InTerm && replica.Last.InTerm == at.InTerm &&
-         replica.Last >= at;
+  return replica.CurrentTerm == at.InTerm && replica.Last >= at;
 }
 
 ConfirmActions onCommitted(ConfirmState &state, Position at, TimePoint deadline,
--- a/src/failover/detection.cpp
+++ b/src/failover/detection.cpp
@@ -47,10 +47,14 @@
   return timings.SuspectAfter - timings.ProbeInterval * 6 / 5 - roundTrip;
 }
 
+/// Failure: this owner was cut off from all targets at once, and the one it
+/// probed last seemed to answer still as it missed the primary. Symptom: a
+/// replica fenced for nothing. A suspicion is four intervals old, so whoever
+/// was silent for two and a half, one lost probe allowed, was cut off too.
 bool answersNow(const GroupState &group, const WatchedTarget &it,
                 TimePoint now) {
   return it.Answered && it.Missed < MissesToAvoid &&
-         now - *it.Answered <= group.Limits.SuspectAfter;
+         now - *it.Answered <= group.Limits.ProbeInterval * 5 / 2;
 }
 
 Sights sightsOf(const GroupState &group, TimePoint now) {
--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -50,6 +50,7 @@
   CHECK(Sim.Platform.Object->Primary == Sim.Targets[0].Name);
   CHECK(Sim.Platform.Object->Successors.size() == 12);
   CHECK(leads(0));
+  CHECK(count<PutObject>() == 1);
   CHECK(count<CampaignBegun>() == 0);
 }
 
@@ -92,6 +93,7 @@
         std::chrono::seconds(3)));
     Sim.Targets[old].Alive = true;
     Sim.runFor(Calm);
+    CHECK(Sim.Targets[old].Report.Following == Sim.Targets[Sim.leader()].Name);
   }
   CHECK(Sim.Platform.Object->InTerm == 1);
   Sim.Platform.Down = false;
@@ -185,6 +187,86 @@
   CHECK(count<Fence>() == 0);
 }
 
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "owner of all targets by its own list, cut off, fences "
+                  "nothing") {
+  // Its list of live daemons shows nobody else, so its own silence is the
+  // whole vote. It reaches one target only, and leaves that alone.
+  std::vector<OwnedTarget> all;
+  for (const auto &it : Sim.Targets)
+    all.push_back({it.Name, Sim.Owners[2].Vm});
+  setTargets(Sim.Owners[2].Group, all, Sim.now());
+  for (std::size_t n : {0, 1})
+    Sim.Cuts[2][n] = true;
+  Sim.runFor(Long);
+  CHECK(leads(0));
+  CHECK(count<Fence>() == 0);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, below a majority in a higher term, is replaced at "
+                  "once") {
+  // A candidate fenced two replicas and vanished. The old primary answers
+  // every probe, yet no write can be confirmed: it counts as missed.
+  for (auto n : {1, 2}) {
+    Sim.Targets[n].Report.CurrentTerm = 3;
+    Sim.Targets[n].Report.Following = TargetName();
+  }
+  CHECK(Sim.runUntil([&] { return Sim.leader() != Domains; },
+                     milliseconds(1'500)));
+  CHECK(Sim.Targets[Sim.leader()].Report.CurrentTerm > 3);
+}
+
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "nominee, longer log of an older term, yields to the newer "
+                  "term") {
+  // A replica has a long tail of term 1 that nobody confirmed; the other has
+  // the records of the last primary. Length alone would lose those.
+  Sim.Targets[0].Alive = false;
+  REQUIRE(newLeader(std::chrono::seconds(2)));
+  Sim.Targets[0].Alive = true;
+  Sim.runFor(Calm);
+  auto old = Sim.leader();
+  auto behind = (old + 1) % Domains;
+  auto ahead = (old + 2) % Domains;
+  Sim.Targets[old].Alive = false;
+  Sim.History.clear();
+  REQUIRE(runUntilAction(isA<Fence>));
+  Sim.Targets[behind].Log.resize(1);
+  for (std::uint64_t n = 0; n < 9; ++n)
+    Sim.Targets[behind].Log.emplace_back(1, 50 + n);
+  REQUIRE(Sim.runUntil(
+      [&] { return Sim.leader() != old && Sim.leader() != Domains; }, Long));
+  CHECK(leads(ahead));
+}
+
+TEST_CASE("owner, paused past the suspicion, looks again before it acts") {
+  // On waking its own silence and a late view of a peer would be two of
+  // three. Both are from before the pause, so they count for nothing.
+  ManualClock clock;
+  std::vector<OwnedTarget> owned = {{TargetName("a"), VmName("1")},
+                                    {TargetName("b"), VmName("2")},
+                                    {TargetName("c"), VmName("3")}};
+  auto group =
+      makeGroup(DatabaseName("db"), VmName("2"), owned, {}, 1, clock.now());
+  group.Object.Known =
+      GroupObject{"id", 1, TargetName("a"), {{2, TargetName("b")}}};
+  onTick(group, clock.now());
+  for (const auto *name : {"a", "b", "c"})
+    onStatus(group, TargetName(name),
+             {1, std::string(name) == "a", {1, 1}, TargetName("a"), false},
+             clock.now());
+  clock.advance(std::chrono::seconds(3));
+  auto out = onTick(group, clock.now());
+  for (const auto *name : {"b", "c"}) // These answered first.
+    onStatus(group, TargetName(name),
+             {1, false, {1, 1}, TargetName("a"), false}, clock.now());
+  auto more =
+      onPeerView(group, VmName("3"), sightsOf(group, clock.now()), clock.now());
+  out.insert(out.end(), more.begin(), more.end());
+  CHECK(std::none_of(out.begin(), out.end(), isA<Fence>));
+}
+
 TEST_CASE_FIXTURE(FailoverFixture,
                   "replica, fenced by a candidate that gave up, is healed") {
   // Its primary's log would be refused for ever; the primary is promoted
@@ -210,6 +292,18 @@
   CHECK(Sim.Promotions == 1);
 }
 
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, leaving with its replicas behind, waits until one "
+                  "is level") {
+  // The log takes 200 ms to a replica. Fenced at once, the old primary would
+  // be the highest and lead again, and the hand-over would begin anew.
+  Sim.ShipLag = milliseconds(200);
+  REQUIRE(Sim.write(0, 5));
+  Sim.Targets[0].Report.Leaving = true;
+  CHECK(newLeader(std::chrono::seconds(1)));
+  CHECK(Sim.Targets[Sim.leader()].Log[1].second == 5);
+}
+
 TEST_CASE("group, an hour with jitter and pauses under the limit, keeps its "
           "primary") {
   // Targets and owners stop for just less than the limit, again and again;
--- a/tests/failover/simulation.h
+++ b/tests/failover/simulation.h
@@ -24,16 +24,17 @@
 inline constexpr std::size_t Domains = 3;
 inline constexpr std::size_t PlatformPlace = Domains;
 
-/// One-way delays of a deployment.
+/// One-way delays of a deployment: between failure domains of a region, to
+/// the third one, and to clients.
 struct Delays {
-  microseconds Domain; ///< Between failure domains of a region.
-  microseconds Region; ///< To the third failure domain.
+  microseconds Domain;
+  microseconds Region;
   microseconds Client;
 };
-inline constexpr Delays Lendleht{microseconds(1'000), microseconds(8'000),
-                                 microseconds(1'000)};
-inline constexpr Delays Thaali{microseconds(1'500), microseconds(8'000),
-                               microseconds(3'000)};
+inline constexpr Delays Lendleht{milliseconds(1), milliseconds(8),
+                                 milliseconds(1)};
+inline constexpr Delays Thaali{microseconds(1'500), milliseconds(8),
+                               milliseconds(3)};
 inline constexpr milliseconds ProbeLimit{400};
 inline constexpr milliseconds Tick{25};
 
@@ -116,7 +117,6 @@
   bool cut(std::size_t a, std::size_t b) const {
     return Cuts[a][b] || Cuts[b][a];
   }
-
   /// The target that leads in the highest term, if a majority is in it.
   std::size_t leader() const {
     for (std::size_t n = 0; n < Domains; ++n) {
@@ -130,7 +130,7 @@
     return Domains;
   }
 
-  /// A write at a target that believes it leads, shipped to its followers.
+  /// At a target that believes it leads.
   bool write(std::size_t n, std::uint64_t id) {
     auto &it = Targets[n];
     if (!it.Alive || !it.Report.IsPrimary || isFrozen(it))
@@ -147,6 +147,7 @@
   /// All actions, in order, with the owner that gave them.
   std::vector<std::pair<std::size_t, Action>> History;
   unsigned Promotions = 0;
+  Duration ShipLag{}; ///< Of the log, beside the wire's delay.
   /// Each term that was led, and by whom: never two.
   std::map<Term, TargetName> Led;
   bool TwoLedOneTerm = false;
@@ -384,7 +385,7 @@
     const auto &source = Targets[from];
     if (!source.Report.IsPrimary || cut(from, to))
       return;
-    after(delay(from, to),
+    after(ShipLag + delay(from, to),
           [=, this, log = source.Log, term = source.Report.CurrentTerm] {
             auto &it = Targets[to];
             if (!it.Alive || isFrozen(it) || it.Report.CurrentTerm != term ||
