--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -91,6 +91,7 @@
     CHECK(Sim.runUntil(
         [&] { return Sim.leader() != old && Sim.leader() != Domains; },
         std::chrono::seconds(3)));
+    Sim.runFor(std::chrono::seconds(1));
     Sim.Targets[old].Alive = true;
     Sim.runFor(Calm);
     CHECK(Sim.Targets[old].Report.Following == Sim.Targets[Sim.leader()].Name);
@@ -227,11 +228,15 @@
   Sim.Targets[0].Alive = true;
   Sim.runFor(Calm);
   auto old = Sim.leader();
-  auto behind = (old + 1) % Domains;
-  auto ahead = (old + 2) % Domains;
   Sim.Targets[old].Alive = false;
   Sim.History.clear();
   REQUIRE(runUntilAction(isA<Fence>));
+  const auto &running = Sim.Owners[Sim.History.back().first].Group.Running;
+  REQUIRE(running);
+  auto behind = (old + 1) % Domains;
+  if (Sim.Targets[behind].Name != running->Candidate.Nominee)
+    behind = (old + 2) % Domains;
+  auto ahead = Domains - old - behind;
   Sim.Targets[behind].Log.resize(1);
   for (std::uint64_t n = 0; n < 9; ++n)
     Sim.Targets[behind].Log.emplace_back(1, 50 + n);
