--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,6 +5,8 @@
 #include "platform/http_platform.h"
 #include "target/http_target.h"
 #include "telemetry/events.h"
+#include "telemetry/platform_calls.h"
+#include "telemetry/target_spans.h"
 
 #include <thread>
 #include <utility>
@@ -13,13 +15,16 @@
 
 namespace {
 
+using telemetry::Direction;
 using telemetry::Event;
 using telemetry::field;
+using telemetry::Link;
 
 constexpr int StatusOk = 200;
 constexpr int StatusBad = 400;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
+constexpr auto MetricsPath = "/metrics";
 
 std::uint64_t startTime() {
   auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -33,28 +38,43 @@
   return it;
 }
 
+platform::GuardOptions guardOptions(const Member &self) {
+  platform::GuardOptions it;
+  it.Seed = self.Incarnation;
+  return it;
+}
+
 } // namespace
 
 Daemon::Daemon(DaemonOptions options, const DaemonTls &tls)
     : Options(std::move(options)), Loops(Options.Threads),
+      Traces(std::make_shared<telemetry::Tracer>(
+          Loops.at(0),
+          telemetry::TraceOptions{.Collector = Options.Collector,
+                                  .Vm = Options.Self.Vm,
+                                  .SampleOneIn = Options.TraceOneIn})),
       Apis([this](const std::string &address) {
-        return target::makeHttpTarget(Loops.next(), address);
+        return telemetry::traceStatements(
+            target::makeHttpTarget(Loops.next(), address), Traces);
       }),
       Peers(Loops, selfOf(Options), {.Tls = tls.InnerClient}),
       Local(
           std::make_shared<Owner>(Time, Options.Self.Vm, Config, Apis, Views)),
       Routes(
           std::make_shared<Router>(Loops, Time, Config, Peers, Views, *Local)),
+      PlatformCalls(std::make_shared<platform::CallCounts>()),
+      PlatformApi(platform::makeGuarded(
+          telemetry::countCalls(platform::makeHttpPlatform(
+                                    Loops.at(0), {.Address = Options.Platform}),
+                                Counts),
+          Loops.at(0), Time, guardOptions(Peers.self()), PlatformCalls)),
       Failover(std::make_shared<FailoverDriver>(
-          Loops.at(0), Time, Config, Peers, Apis, Views,
-          platform::makeHttpPlatform(Loops.at(0),
-                                     {.Address = Options.Platform}),
+          Loops.at(0), Time, Config, Peers, Apis, Views, PlatformApi,
           failover::timingsFor(Options.ProbeInterval))),
-      Sync(std::make_shared<PlatformSync>(
-          Loops.at(0),
-          platform::makeHttpPlatform(Loops.at(0),
-                                     {.Address = Options.Platform}),
-          Config, Peers)) {
+      Relay(std::make_shared<ConfigurationRelay>(Loops.at(0), Time, Config,
+                                                 Peers, Options.Peers)),
+      Sync(std::make_shared<PlatformSync>(Loops.at(0), Time, PlatformApi, Relay,
+                                          Peers)) {
   http::ServerOptions callers;
   callers.Address = Options.ListenCallers;
   callers.Tls = tls.Callers;
@@ -85,6 +105,9 @@
         {"--listen_inner", "an address that is free", ec.message()});
   if (!findings.empty())
     return findings;
+  Peers.listeningOn(innerPort());
+  Relay->start();
+  Traces->start();
   Sync->start();
   Failover->start([this] {
     Local->giveUpLate();
@@ -104,6 +127,7 @@
   constexpr std::chrono::milliseconds Step{10};
   telemetry::log(Event::Stopping, {field("limit_ms", limit.count())});
   Draining = true;
+  Relay->leave();
   Callers->drain();
   auto end = Time.now() + limit;
   while ((Serving > 0 || Local->inFlight() > 0) && Time.now() < end)
@@ -111,6 +135,8 @@
   bool finished = Serving == 0 && Local->inFlight() == 0;
   Failover->stop();
   Sync->stop();
+  Relay->stop();
+  Traces->stop();
   Inner->drain();
   Callers->stop();
   Inner->stop();
@@ -123,15 +149,45 @@
   if (Draining)
     return {StatusUnavailable, {}, "shutting down\n"};
   if (!Config.get())
-    return {StatusUnavailable, {}, "no configuration in force yet\n"};
+    return {StatusUnavailable,
+            {},
+            "no configuration in force yet; platform: " + Sync->lastAnswer() +
+                "; " + Relay->peersTried() + "\n"};
   return {StatusOk, {}, "ready\n"};
 }
 
+Stats Daemon::stats() {
+  auto config = Config.get();
+  Counts.Revision->Set(config ? static_cast<double>(config->Revision) : 0);
+  Counts.CallerConnections->Set(static_cast<double>(Callers->connections()));
+  Counts.RequestsInFlight->Set(static_cast<double>(Serving.load()));
+  return telemetry::readStats(Counts);
+}
+
+void Daemon::finish(telemetry::Span span, const StatementAnswer &answer,
+                    http::Response &out) {
+  if (!span.traceparent().empty())
+    out.Fields.push_back({"traceparent", span.traceparent()});
+  span.Attributes = {{"peridotfall.outcome", toString(answer.Effect)},
+                     {"peridotfall.code", toString(answer.Code)},
+                     {"peridotfall.served_by", answer.ServedBy.Value}};
+  Traces->finishSpan(std::move(span));
+}
+
+http::Response Daemon::metricsText() {
+  stats();
+  return {StatusOk,
+          {{"content-type", "text/plain; version=0.0.4"}},
+          telemetry::writeText(Counts)};
+}
+
 void Daemon::serveCaller(http::Request request, const http::Respond &respond) {
   if (request.Path == "/healthz")
     respond({StatusOk, {}, "ok\n"});
   else if (request.Path == "/readyz")
     respond(readiness());
+  else if (request.Path == MetricsPath)
+    respond(metricsText());
   else
     serveStatement(request, respond);
 }
@@ -145,21 +201,36 @@
     return;
   }
   ++Serving;
+  telemetry::countBytes(Counts, Link::Callers, Direction::In,
+                        request.Body.size());
   const auto &in = parsed.value();
   auto entry = in.Session.Databases.find(in.Statement.Database);
   RoutedRequest routed{in.Statement,
                        entry == in.Session.Databases.end() ? SessionEntry{}
                                                            : entry->second,
                        request.Gone};
-  Routes->route(std::move(routed),
-                [this, in, respond](const StatementAnswer &answer) {
-                  respond(makeResponse(in, answer, Options.Keys));
-                  --Serving;
-                });
+  auto span =
+      Traces->startSpan(telemetry::Hop::Entry, in.Statement.Traceparent);
+  routed.Request.Traceparent = span.traceparent();
+  Routes->route(
+      std::move(routed), [this, in, respond, span = std::move(span),
+                          begun = Time.now()](const StatementAnswer &answer) {
+        auto view = Views.get(in.Statement.Database);
+        telemetry::countAnswer(Counts, in.Statement, answer, Time.now() - begun,
+                               answer.ServedBy != view.Primary);
+        auto out = makeResponse(in, answer, Options.Keys);
+        telemetry::countBytes(Counts, Link::Callers, Direction::Out,
+                              out.Body.size());
+        finish(span, answer, out);
+        respond(std::move(out));
+        --Serving;
+      });
 }
 
 void Daemon::serveInner(const http::Request &request,
                         const http::Respond &respond) {
+  if (Relay->serve(request, respond))
+    return;
   if (request.Path == messages::PeerPath) {
     auto config = Config.get();
     messages::PeerInfo info{Peers.self(), config ? config->Revision : 0};
@@ -172,6 +243,10 @@
     respond({body ? StatusOk : StatusNotFound, {}, body.value_or("")});
     return;
   }
+  if (request.Path == MetricsPath) {
+    respond(metricsText());
+    return;
+  }
   if (request.Path != messages::StatementPath) {
     respond({StatusNotFound, {}, ""});
     return;
@@ -181,10 +256,19 @@
     respond({StatusBad, {}, ""});
     return;
   }
-  Local->execute(std::move(decoded.value()), request.Gone,
-                 [respond](const StatementAnswer &answer) {
-                   respond({StatusOk, {}, messages::encode(answer)});
-                 });
+  telemetry::countBytes(Counts, Link::Inner, Direction::In,
+                        request.Body.size());
+  auto span =
+      Traces->startSpan(telemetry::Hop::Inner, decoded.value().Traceparent);
+  decoded.value().Traceparent = span.traceparent();
+  Local->execute(
+      std::move(decoded.value()), request.Gone,
+      [this, respond, span = std::move(span)](const StatementAnswer &answer) {
+        Traces->finishSpan(span);
+        auto body = messages::encode(answer);
+        telemetry::countBytes(Counts, Link::Inner, Direction::Out, body.size());
+        respond({StatusOk, {}, std::move(body)});
+      });
 }
 
 } // namespace peridotfall
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 #define PERIDOTFALL_DAEMON_DAEMON_H
 
 #include "config/in_force.h"
+#include "daemon/configuration_relay.h"
 #include "daemon/failover_driver.h"
 #include "daemon/fleet.h"
 #include "daemon/options.h"
@@ -16,6 +17,10 @@
 #include "http/loops.h"
 #include "http/server.h"
 #include "peridotfall/clock.h"
+#include "peridotfall/stats.h"
+#include "platform/guarded.h"
+#include "telemetry/metrics.h"
+#include "telemetry/trace.h"
 
 #include <atomic>
 #include <memory>
@@ -37,8 +42,19 @@
 
   std::uint16_t callerPort() const { return Callers->port(); }
   std::uint16_t innerPort() const { return Inner->port(); }
+  /// \return the revision in force; 0: none.
+  std::uint64_t revision() const {
+    auto it = Config.get();
+    return it ? it->Revision : 0;
+  }
+  /// What it has done so far.
+  Stats stats();
 
 private:
+  http::Response metricsText();
+  /// Ends the entry's span and tells the caller of its trace.
+  void finish(telemetry::Span span, const StatementAnswer &answer,
+              http::Response &out);
   void serveCaller(http::Request request, const http::Respond &respond);
   void serveStatement(const http::Request &request,
                       const http::Respond &respond);
@@ -47,14 +63,19 @@
 
   const DaemonOptions Options;
   SystemClock Time;
+  telemetry::Metrics Counts = telemetry::makeMetrics();
   http::Loops Loops;
+  std::shared_ptr<telemetry::Tracer> Traces;
   ConfigurationInForce Config;
   GroupViews Views;
   Targets Apis;
   Fleet Peers;
   std::shared_ptr<Owner> Local;
   std::shared_ptr<Router> Routes;
+  std::shared_ptr<platform::CallCounts> PlatformCalls;
+  platform::Api PlatformApi;
   std::shared_ptr<FailoverDriver> Failover;
+  std::shared_ptr<ConfigurationRelay> Relay;
   std::shared_ptr<PlatformSync> Sync;
   std::shared_ptr<http::Server> Callers;
   std::shared_ptr<http::Server> Inner;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -16,6 +16,9 @@
 DEFINE_string(listen, "127.0.0.1:8080", "address for callers");
 DEFINE_string(listen_inner, "127.0.0.1:8081", "address for other daemons");
 DEFINE_string(platform, "", "address of the platform's object API");
+DEFINE_string(peers, "",
+              "inner addresses of some other daemons, ADDRESS,...; asked for "
+              "the configuration where the platform is down at the start");
 DEFINE_string(token_keys, "",
               "keys of session tokens, ID:SECRET,...; the first signs. "
               "Better given as PERIDOTFALL_TOKEN_KEYS than on the command "
@@ -28,6 +31,12 @@
 DEFINE_bool(plain_text, false,
             "listen without TLS on an address that is not loopback");
 DEFINE_uint32(threads, 2, "event loops, one a thread");
+DEFINE_string(collector, "",
+              "address of an OTLP collector that speaks HTTP/2; empty: no "
+              "traces are sent");
+DEFINE_uint32(trace_one_in, 0,
+              "of requests without a traceparent, trace one in so many; 0: "
+              "none");
 DEFINE_uint32(probe_ms, 150, "milliseconds between probes of a target");
 DEFINE_uint32(shutdown_ms, 10000, "longest wait for requests in flight");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
@@ -72,12 +81,15 @@
   it.ListenCallers = FLAGS_listen;
   it.ListenInner = FLAGS_listen_inner;
   it.Platform = FLAGS_platform;
+  it.Peers = FLAGS_peers;
   it.TokenKeys = FLAGS_token_keys;
   it.CallerTls = {FLAGS_tls_cert, FLAGS_tls_key, ""};
   it.InnerTls = {FLAGS_inner_cert, FLAGS_inner_key, FLAGS_inner_ca};
   it.PlainText = FLAGS_plain_text;
   it.Threads = FLAGS_threads;
   it.ProbeMs = FLAGS_probe_ms;
+  it.Collector = FLAGS_collector;
+  it.TraceOneIn = FLAGS_trace_one_in;
   return it;
 }
 
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <sstream>
 
 namespace peridotfall {
 
@@ -26,6 +27,14 @@
         {flag, "an IP number and port, as 10.0.0.1:8080", "'" + value + "'"});
 }
 
+std::vector<std::string> splitList(const std::string &text) {
+  std::vector<std::string> out;
+  std::istringstream in(text);
+  for (std::string it; std::getline(in, it, ',');)
+    out.push_back(it);
+  return out;
+}
+
 void checkRange(const char *flag, std::uint32_t value, std::uint32_t least,
                 std::uint32_t most, Findings &findings) {
   if (value < least || value > most)
@@ -75,7 +84,11 @@
   checkAddress("--listen", settings.ListenCallers, findings);
   checkAddress("--listen_inner", settings.ListenInner, findings);
   checkAddress("--platform", settings.Platform, findings);
+  for (const auto &it : splitList(settings.Peers))
+    checkAddress("--peers", it, findings);
   checkRange("--threads", settings.Threads, 1, MostThreads, findings);
+  if (!settings.Collector.empty())
+    checkAddress("--collector", settings.Collector, findings);
   checkRange("--probe_ms", settings.ProbeMs, 10, MostProbeMs, findings);
   checkTls("--tls", settings.CallerTls, false, findings);
   checkTls("--inner", settings.InnerTls, true, findings);
@@ -99,10 +112,13 @@
   out.ListenCallers = settings.ListenCallers;
   out.ListenInner = settings.ListenInner;
   out.Platform = settings.Platform;
+  out.Peers = splitList(settings.Peers);
   out.Keys = keys.value();
   out.CallerTls = settings.CallerTls;
   out.InnerTls = settings.InnerTls;
   out.Threads = settings.Threads;
+  out.Collector = settings.Collector;
+  out.TraceOneIn = settings.TraceOneIn;
   out.ProbeInterval = std::chrono::milliseconds(settings.ProbeMs);
   return out;
 }
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <compare>
 #include <string>
+#include <vector>
 
 namespace peridotfall {
 
@@ -23,12 +24,15 @@
   std::string ListenCallers;
   std::string ListenInner;
   std::string Platform;
+  std::string Peers;
   std::string TokenKeys;
   http::TlsFiles CallerTls;
   http::TlsFiles InnerTls;
   bool PlainText = false; ///< Said outright; else only on loopback.
   std::uint32_t Threads = 2;
   std::uint32_t ProbeMs = 150;
+  std::string Collector; ///< Of traces; empty: none.
+  std::uint32_t TraceOneIn = 0;
 
   auto operator<=>(const DaemonSettings &) const = default;
 };
@@ -39,11 +43,14 @@
   std::string ListenCallers = "127.0.0.1:0";
   std::string ListenInner = "127.0.0.1:0";
   std::string Platform;
+  std::vector<std::string> Peers; ///< Asked where the platform is down.
   TokenKeys Keys;
   http::TlsFiles CallerTls; ///< Empty: plain text.
   http::TlsFiles InnerTls;  ///< Empty: plain text. Else mutual.
   unsigned Threads = 2;
   std::chrono::milliseconds ProbeInterval{150};
+  std::string Collector;        ///< Of traces; empty: none.
+  std::uint32_t TraceOneIn = 0; ///< Requests sampled here: one in so many.
 
   auto operator<=>(const DaemonOptions &) const = default;
 };
