Send the term of its beginning with each statement of a transaction

Why: a target that was fenced and leads again has dropped its transactions; the next statement of one ran and committed alone. The random runs of the proof found it in their model of the owner; the owner itself had it too.

Ruled out: telling it by the target alone, which sees a statement on a connection without a transaction like any other.

Change: an open transaction keeps the term in which it began, and each of its statements names it. A refusal for the term ends the transaction, and the caller is told transaction-gone, not run. A test of the owner shows it.

--- a/src/daemon/owner.cpp
+++ b/src/daemon/owner.cpp
@@ -143,6 +143,10 @@
   if (work.inTransaction()) {
     open->second.Busy = true;
     work.Connection = open->second.Connection;
+    // Failure: the target was fenced, dropped the transaction, and leads again
+    // in a higher term. Symptom: a later statement of the transaction runs and
+    // commits alone. With the term of its beginning it is refused.
+    work.Request.InTerm = open->second.InTerm;
   }
   pool.Beginning += begins ? 1 : 0;
   work.Ticket = offer.Ticket;
@@ -272,6 +276,9 @@
   if (!opened.empty())
     answer.Transaction = opened;
   answer.ServedBy = work.Request.Target;
+  if (work.inTransaction() && (answer.Code == AnswerCode::Fenced ||
+                               answer.Code == AnswerCode::NotPrimary))
+    answer.Code = AnswerCode::TransactionGone;
   if (answer.Code == AnswerCode::Busy && !answer.RetryAfter)
     answer.RetryAfter = RetryAfterBusy;
   bool confirms = work.Request.What == Verb::Commit ||
@@ -303,7 +310,8 @@
       --pool.Beginning;
       if (answer.Code == AnswerCode::Ok) {
         opened = makeTransactionHandle({Self, request.Target});
-        pool.Transactions[opened] = {work.Connection, false, now};
+        auto term = request.InTerm != 0 ? request.InTerm : answer.At.InTerm;
+        pool.Transactions[opened] = {work.Connection, term, false, now};
         giveBack = false;
       }
     }
--- a/src/daemon/owner_pool.cpp
+++ b/src/daemon/owner_pool.cpp
@@ -36,6 +36,8 @@
   bool closes = request.What == Verb::Commit || request.What == Verb::Rollback;
   return !leavesConnectionUsable(answer) ||
          answer.Code == AnswerCode::TransactionGone ||
+         answer.Code == AnswerCode::Fenced ||
+         answer.Code == AnswerCode::NotPrimary ||
          (closes && answer.Effect == Outcome::Done);
 }
 
--- a/src/daemon/owner_pool.h
+++ b/src/daemon/owner_pool.h
@@ -41,6 +41,7 @@
 
 struct OpenTransaction {
   target::ConnectionPtr Connection;
+  Term InTerm = 0; ///< In which it began.
   bool Busy = false;
   TimePoint IdleSince;
 };
--- a/tests/daemon/owner_test.cpp
+++ b/tests/daemon/owner_test.cpp
@@ -168,6 +168,28 @@
   CHECK((Answers.back().Effect == Outcome::Done));
 }
 
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "transaction, target leads again in a higher term, runs none "
+                  "of its statements alone") {
+  // The target is fenced, drops the transaction and leads again. The next
+  // statement carries the term of the beginning, so the target refuses it
+  // instead of running it outside any transaction; the caller is told that
+  // the transaction is gone.
+  auto begin = request(Verb::Begin);
+  begin.InTerm = 3;
+  execute(begin);
+  Fake.answer();
+  auto it = request();
+  it.Transaction = Answers.back().Transaction;
+  execute(it);
+  REQUIRE(Fake.Calls.size() == 1);
+  CHECK(Fake.Calls.front().Request.InTerm == 3);
+  Fake.answer(Outcome::NotRun, AnswerCode::Fenced);
+  CHECK((Answers.back().Code == AnswerCode::TransactionGone));
+  CHECK((Answers.back().Effect == Outcome::NotRun));
+  CHECK(Local->inFlight() == 0);
+}
+
 TEST_CASE_FIXTURE(OwnerFixture,
                   "ownership moves, what waits goes on and what runs ends") {
   // Another daemon becomes rank 0. Requests that have not started are handed
