Make the questionnaire and the operators' tool whole

Ruled out: a drain object of its own at the platform, which would need a watch and an order of its own; the drained VMs are part of the configuration instead and have its revision. Going on from revision 0 where the stored configuration cannot be read: all daemons would ignore it.

--- a/include/peridotfall/configuration.h
+++ b/include/peridotfall/configuration.h
@@ -39,6 +39,8 @@
   bool Repeatable = false;
   bool OfRecord = false; ///< Orders, approvals, payments: before lookups.
   std::chrono::milliseconds MaxAge{}; ///< Of a stale read.
+  /// Of a request whose caller names none; 0: the service's own default.
+  std::chrono::milliseconds Deadline{};
 
   auto operator<=>(const KindConfig &) const = default;
 };
@@ -69,6 +71,8 @@
 /// \return everything wrong with the text, or the configuration.
 Parsed<Configuration> parseConfiguration(const std::string &json);
 std::string writeConfiguration(const Configuration &it);
+/// \return what breaks the rules that hold between fields.
+Findings checkConfiguration(const Configuration &it);
 
 /// \return null where there is none.
 const DatabaseConfig *findDatabase(const Configuration &it,
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -64,6 +64,8 @@
   kind.OfRecord = it.flagOr("ofRecord", false);
   kind.MaxAge = std::chrono::milliseconds(
       it.numberOr("maxAgeMs", 0, MostMilliseconds, 0));
+  kind.Deadline = std::chrono::milliseconds(
+      it.numberOr("deadlineMs", 0, MostMilliseconds, 0));
   it.finish();
   return kind;
 }
@@ -119,12 +121,20 @@
   }
 }
 
-void checkWhole(const Configuration &it, Findings &findings) {
-  std::set<DomainName> domains;
+void checkDomains(const Configuration &it, std::set<DomainName> &domains,
+                  Findings &findings) {
   for (std::size_t n = 0; n < it.Domains.size(); ++n)
     if (!domains.insert(it.Domains[n].Name).second)
       findings.push_back({at("/domains", n) + "/name", "a name used once",
                           it.Domains[n].Name.Value});
+}
+
+} // namespace
+
+Findings checkConfiguration(const Configuration &it) {
+  Findings findings;
+  std::set<DomainName> domains;
+  checkDomains(it, domains, findings);
   std::set<DatabaseName> names;
   std::set<TargetName> targets;
   std::set<std::string> addresses;
@@ -136,8 +146,11 @@
     checkDatabase(it.Databases[n], where, domains, targets, addresses,
                   findings);
   }
+  return findings;
 }
 
+namespace {
+
 Json writeDatabase(const DatabaseConfig &it) {
   Json targets = Json::array();
   for (const auto &target : it.Targets)
@@ -152,7 +165,8 @@
                      {"access", toString(kind.Mode)},
                      {"repeatable", kind.Repeatable},
                      {"ofRecord", kind.OfRecord},
-                     {"maxAgeMs", kind.MaxAge.count()}});
+                     {"maxAgeMs", kind.MaxAge.count()},
+                     {"deadlineMs", kind.Deadline.count()}});
   return {{"name", it.Name.Value},
           {"targets", targets},
           {"kinds", kinds},
@@ -193,7 +207,8 @@
     else
       it.report("drained", "names of VMs", excerpt(vm));
   it.finish();
-  checkWhole(config, findings);
+  auto broken = checkConfiguration(config);
+  findings.insert(findings.end(), broken.begin(), broken.end());
   if (!findings.empty())
     return findings;
   return config;
--- a/src/config/questionnaire.cpp
+++ b/src/config/questionnaire.cpp
@@ -3,7 +3,13 @@
 #include "base/document.h"
 #include "base/encoding.h"
 
+#include "peridotfall/limits.h"
+
+#include <arpa/inet.h>
+#include <charconv>
 #include <fmt/format.h>
+#include <map>
+#include <utility>
 
 namespace peridotfall {
 
@@ -14,6 +20,9 @@
 constexpr std::uint64_t DefaultKeyHours = 24;
 constexpr std::uint64_t DefaultConfirmMs = 1'000;
 constexpr std::size_t IdBytes = 8;
+constexpr std::size_t TargetsOfGroup = 3;
+/// The platform holds values up to a megabyte.
+constexpr std::size_t MostBytes = 1'000'000;
 
 std::string at(const std::string &list, std::size_t n) {
   return fmt::format("{}/{}", list, n);
@@ -43,6 +52,9 @@
     it.flagOr("mayRepeat", true);
     kind.OfRecord = it.flagOr("ofRecord", false);
   }
+  kind.Deadline = std::chrono::milliseconds(
+      it.numberOr("deadlineMs", 1,
+                  static_cast<std::uint64_t>(limits::MaxDeadline.count()), 0));
   it.finish();
   return kind;
 }
@@ -84,6 +96,92 @@
   return database;
 }
 
+/// \return whether the text is an IP number and a port.
+bool isAddress(const std::string &text) {
+  auto colon = text.rfind(':');
+  if (colon == std::string::npos)
+    return false;
+  auto host = text.substr(0, colon);
+  std::uint16_t port = 0;
+  const auto *end = text.data() + text.size();
+  auto [stop, ec] = std::from_chars(text.data() + colon + 1, end, port);
+  if (ec != std::errc() || stop != end || port == 0)
+    return false;
+  in6_addr bytes;
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(),
+                     &bytes) == 1;
+  return inet_pton(AF_INET, host.c_str(), &bytes) == 1;
+}
+
+void checkTargets(const DatabaseConfig &database, const std::string &place,
+                  Findings &findings) {
+  if (database.Targets.size() != TargetsOfGroup)
+    findings.push_back({place, "three targets: two of them are a majority",
+                        std::to_string(database.Targets.size())});
+  std::map<DomainName, TargetName> held;
+  std::size_t n = 0;
+  for (const auto &it : database.Targets) {
+    auto where = at(place, n++);
+    if (!it.Address.empty() && !isAddress(it.Address))
+      findings.push_back({where + "/address",
+                          "an IP number and port, as 10.0.0.1:7411",
+                          it.Address});
+    if (it.Domain.empty())
+      continue;
+    auto [found, isNew] = held.emplace(it.Domain, it.Name);
+    if (!isNew)
+      findings.push_back({where + "/failureDomain",
+                          "another failure domain than that of " +
+                              found->second.Value +
+                              ": the loss of one must leave a majority",
+                          it.Domain.Value});
+  }
+}
+
+/// What the answers have to hold beyond what any configuration does.
+void checkAnswers(const Configuration &it, Findings &findings) {
+  if (it.Domains.empty())
+    findings.push_back(
+        {"/failureDomains", "at least one, with its region", "none"});
+  if (it.Databases.empty())
+    findings.push_back({"/databases", "at least one", "none"});
+  for (std::size_t n = 0; n < it.Databases.size(); ++n) {
+    auto place = at("/databases", n);
+    checkTargets(it.Databases[n], place + "/targets", findings);
+    if (it.Databases[n].Kinds.empty())
+      findings.push_back(
+          {place + "/requests", "at least one kind of request", "none"});
+  }
+}
+
+/// \return the place in the questionnaire for one in the configuration.
+std::string placeInAnswers(std::string place) {
+  static const std::pair<std::string, std::string> Renamed[] = {
+      {"/kinds/", "/requests/"},
+      {"/domains/", "/failureDomains/"},
+      {"/domain", "/failureDomain"}};
+  for (const auto &[from, to] : Renamed) {
+    auto n = place.find(from);
+    bool whole = n != std::string::npos &&
+                 (from.back() == '/' || n + from.size() == place.size());
+    if (whole)
+      place.replace(n, from.size(), to);
+  }
+  return place;
+}
+
+void checkRules(const Configuration &config, Findings &findings) {
+  checkAnswers(config, findings);
+  for (auto it : checkConfiguration(config)) {
+    // What is missing has been reported as such.
+    if (it.Found.empty())
+      continue;
+    it.Place = placeInAnswers(it.Place);
+    findings.push_back(std::move(it));
+  }
+}
+
 } // namespace
 
 Parsed<Configuration> generateConfiguration(const std::string &json) {
@@ -106,13 +204,15 @@
     config.Databases.push_back(
         readDatabase(database, at("/databases", n++), findings));
   it.finish();
+  checkRules(config, findings);
+  auto bytes = writeConfiguration(config).size();
+  if (bytes > MostBytes)
+    findings.push_back({"/databases", "a configuration of at most a megabyte",
+                        fmt::format("{} bytes, {} databases", bytes,
+                                    config.Databases.size())});
   if (!findings.empty())
     return findings;
   config.Id = randomHex(IdBytes);
-  // The rules that hold between fields are those of the configuration.
-  auto checked = parseConfiguration(writeConfiguration(config));
-  if (!checked)
-    return checked.error();
   return config;
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "daemon/caller_api.h"
+#include "daemon/status.h"
 #include "messages/inner.h"
 #include "platform/http_platform.h"
 #include "target/http_target.h"
@@ -43,6 +44,16 @@
   return it;
 }
 
+/// A request whose caller names no deadline has that of its kind.
+void useKindDeadline(const Configuration *config, const http::Request &request,
+                     StatementRequest &out) {
+  const auto *database = config ? findDatabase(*config, out.Database) : nullptr;
+  const auto *kind = database ? findKind(*database, out.Kind) : nullptr;
+  if (kind && kind->Deadline.count() > 0 &&
+      http::findHeader(request.Fields, DeadlineHeader).empty())
+    out.Budget = kind->Deadline;
+}
+
 } // namespace
 
 Daemon::Daemon(DaemonOptions options, const DaemonTls &tls)
@@ -176,6 +187,7 @@
     respond(makeResponse(parsed.error()));
     return;
   }
+  useKindDeadline(config.get(), request, parsed.value().Statement);
   ++Serving;
   telemetry::countBytes(Counts, Link::Callers, Direction::In,
                         request.Body.size());
@@ -218,6 +230,11 @@
     respond(metricsText());
     return;
   }
+  if (request.Path == StatusPath) {
+    respond(statusResponse(
+        {Config.get(), Peers, Views, *PlatformCalls, Time.now(), Draining}));
+    return;
+  }
   if (request.Path != messages::StatementPath) {
     respond({StatusNotFound, {}, ""});
     return;
--- a/src/tool/commands.h
+++ b/src/tool/commands.h
@@ -4,6 +4,11 @@
 #ifndef PERIDOTFALL_TOOL_COMMANDS_H
 #define PERIDOTFALL_TOOL_COMMANDS_H
 
+#include "http/loops.h"
+#include "peridotfall/clock.h"
+#include "peridotfall/result.h"
+#include "platform/platform.h"
+
 #include <chrono>
 #include <string>
 #include <vector>
@@ -23,6 +28,8 @@
 struct ToolOptions {
   std::string Platform; ///< Address of the object API.
   std::string Daemon;   ///< Address of an entry daemon, for callers.
+  std::string Inner;    ///< Inner address of a daemon, for `status`.
+  bool Json = false;    ///< `status` as JSON.
   std::string Operator; ///< Who applies a configuration.
   std::string Kind;     ///< Kind of request of `sql`.
   std::string Session;  ///< Session token, or file to keep it in.
@@ -32,10 +39,29 @@
 
 using Words = std::vector<std::string>;
 
-/// questionnaire check|generate|apply FILE
+/// The platform as the tool uses it, with a loop of its own.
+class PlatformClient {
+public:
+  explicit PlatformClient(const std::string &address);
+  const platform::Api &api() const { return Api; }
+
+private:
+  http::Loops Loops{1};
+  SystemClock Time;
+  platform::Api Api;
+};
+
+/// Says on standard error what went wrong. \return the exit code for it.
+int report(const Error &error);
+
+/// questionnaire check|generate|apply FILE, questionnaire show
 int runQuestionnaire(const ToolOptions &options, const Words &words);
 /// sql DATABASE STATEMENT [PARAMETER...]
 int runSql(const ToolOptions &options, const Words &words);
+/// status
+int runStatus(const ToolOptions &options, const Words &words);
+/// drain VM, undrain VM
+int runDrain(const ToolOptions &options, const Words &words, bool drained);
 /// explain PFnnnn
 int runExplain(const Words &words);
 
--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -12,6 +12,9 @@
 DEFINE_string(daemon, "127.0.0.1:8080",
               "address of an entry daemon "
               "(PERIDOTFALL_DAEMON)");
+DEFINE_string(inner, "127.0.0.1:8081",
+              "inner address of a daemon, for status (PERIDOTFALL_INNER)");
+DEFINE_bool(json, false, "status: as JSON");
 DEFINE_string(operator_name, "",
               "who applies a configuration (default: the user)");
 DEFINE_string(kind, "", "sql: kind of request, as the questionnaire names it");
@@ -23,14 +26,41 @@
 
 using namespace peridotfall::tool;
 
+constexpr auto Version = "0.1.0";
 constexpr auto Usage =
     "usage: peridotfall [FLAGS] COMMAND ...\n"
-    "  questionnaire check|generate|apply FILE\n"
+    "\n"
+    "commands\n"
+    "  questionnaire check FILE      report all findings\n"
+    "  questionnaire generate FILE   print the configuration\n"
+    "  questionnaire apply FILE      store it; in force within seconds\n"
+    "  questionnaire show            print the answers in force\n"
+    "  status                        owners, terms, lag, revisions\n"
+    "  drain VM, undrain VM          take out of use, or back\n"
     "  sql DATABASE STATEMENT [PARAMETER...]\n"
-    "  explain PFnnnn\n"
-    "exit codes: 0 done, 1 refused or failed, 2 wrong words or files,\n"
-    "  3 another operator was first, 4 not reachable (nothing done),\n"
-    "  5 outcome unknown";
+    "  explain PFnnnn                what an event means\n"
+    "\n"
+    "flags\n"
+    "  --platform=ADDRESS     the platform's object API "
+    "(PERIDOTFALL_PLATFORM)\n"
+    "  --daemon=ADDRESS       an entry daemon (PERIDOTFALL_DAEMON)\n"
+    "  --inner=ADDRESS        inner address of a daemon (PERIDOTFALL_INNER)\n"
+    "  --operator_name=NAME   who makes a change (default: the user)\n"
+    "  --json                 status as JSON\n"
+    "  --kind, --session, --key, --deadline_ms   of sql\n"
+    "  --help, --version\n"
+    "\n"
+    "exit codes\n"
+    "  0 done   1 refused or failed   2 wrong words or files\n"
+    "  3 another operator was first   4 not reachable, nothing done\n"
+    "  5 outcome unknown\n";
+
+bool asks(int argc, char **argv, const std::string &flag) {
+  for (int n = 1; n < argc && std::string(argv[n]) != "--"; ++n)
+    if (argv[n] == "--" + flag || argv[n] == "-" + flag)
+      return true;
+  return false;
+}
 
 std::string orEnvironment(const std::string &flag, const char *name,
                           const std::string &fallback) {
@@ -45,6 +75,8 @@
   it.Platform = orEnvironment(FLAGS_platform, "PERIDOTFALL_PLATFORM", "");
   it.Daemon =
       orEnvironment(FLAGS_daemon, "PERIDOTFALL_DAEMON", "127.0.0.1:8080");
+  it.Inner = orEnvironment(FLAGS_inner, "PERIDOTFALL_INNER", "127.0.0.1:8081");
+  it.Json = FLAGS_json;
   it.Operator = orEnvironment(FLAGS_operator_name, "USER", "unnamed");
   it.Kind = FLAGS_kind;
   it.Session = FLAGS_session;
@@ -56,8 +88,14 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  gflags::SetUsageMessage(Usage);
-  gflags::SetVersionString("0.1.0");
+  if (asks(argc, argv, "help")) {
+    std::cout << Usage;
+    return Success;
+  }
+  if (asks(argc, argv, "version")) {
+    std::cout << "peridotfall " << Version << "\n";
+    return Success;
+  }
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   Words words(argv + 1, argv + argc);
   std::string command = words.empty() ? "" : words.front();
@@ -65,10 +103,14 @@
     words.erase(words.begin());
   if (command == "questionnaire")
     return runQuestionnaire(options(), words);
+  if (command == "status")
+    return runStatus(options(), words);
+  if (command == "drain" || command == "undrain")
+    return runDrain(options(), words, command == "drain");
   if (command == "sql")
     return runSql(options(), words);
   if (command == "explain")
     return runExplain(words);
-  std::cerr << Usage << "\n";
+  std::cerr << Usage;
   return BadUsage;
 }
--- /dev/null
+++ b/tests/config/questionnaire_test.cpp
@@ -0,0 +1,105 @@
+#include "peridotfall/questionnaire.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace peridotfall;
+
+namespace {
+
+struct QuestionnaireFixture {
+  std::string Address = "10.0.0.3:7411";
+  std::string Third = "d3";
+  std::string ThirdTarget = "t3";
+  std::string Requests = R"({"name":"place","effect":"changes"})";
+
+  std::string target(const std::string &name, const std::string &domain,
+                     const std::string &address) const {
+    return fmt::format(R"({{"name":"{}","failureDomain":"{}","address":"{}",)"
+                       R"("slots":2,"connections":16}})",
+                       name, domain, address);
+  }
+
+  std::string answers() const {
+    return R"({"team":"a team","failureDomains":[)"
+           R"({"name":"d1","region":"r"},{"name":"d2","region":"r"},)"
+           R"({"name":"d3","region":"s"}],"databases":[{"name":"orders",)"
+           R"("targets":[)" +
+           target("t1", "d1", "10.0.0.1:7411") + "," +
+           target("t2", "d2", "10.0.0.2:7411") + "," +
+           target(ThirdTarget, Third, Address) + R"(],"requests":[)" +
+           Requests + "]}]}";
+  }
+
+  /// \return the places of all findings.
+  std::vector<std::string> places() const {
+    std::vector<std::string> out;
+    auto it = generateConfiguration(answers());
+    if (!it)
+      for (const auto &finding : it.error())
+        out.push_back(finding.Place);
+    return out;
+  }
+};
+
+using Places = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE_FIXTURE(QuestionnaireFixture,
+                  "questionnaire, complete, is a configuration that reads "
+                  "back the same") {
+  auto it = generateConfiguration(answers());
+  REQUIRE(it);
+  auto back = parseConfiguration(writeConfiguration(it.value()));
+  REQUIRE(back);
+  CHECK(back.value() == it.value());
+}
+
+TEST_CASE_FIXTURE(QuestionnaireFixture,
+                  "questionnaire, two targets in one domain, is refused") {
+  Third = "d1";
+  CHECK(places() == Places{"/databases/0/targets/2/failureDomain"});
+}
+
+TEST_CASE_FIXTURE(QuestionnaireFixture,
+                  "questionnaire, unknown domain, names the answer's place") {
+  Third = "d9";
+  CHECK(places() == Places{"/databases/0/targets/2/failureDomain"});
+}
+
+TEST_CASE_FIXTURE(QuestionnaireFixture,
+                  "questionnaire, address no IP number and port, is refused") {
+  for (const auto *it : {"db.example:7411", "10.0.0.1", "10.0.0.1:0",
+                         "10.0.0.300:1", "10.0.0.1:70000", "10.0.0.1:1x"}) {
+    Address = it;
+    CHECK(places() == Places{"/databases/0/targets/2/address"});
+  }
+  Address = "[fd00::3]:7411";
+  CHECK(places().empty());
+}
+
+TEST_CASE_FIXTURE(QuestionnaireFixture,
+                  "questionnaire, several things wrong, reports all") {
+  ThirdTarget = "t1";
+  Third = "d9";
+  Address = "here";
+  Requests = R"({"name":"a","effect":"reads"},{"name":"a","effect":"grows"},)"
+             R"({"name":"b","effect":"reads","deadlineMs":0,"colour":1})";
+  auto found = places();
+  for (const auto *it :
+       {"/databases/0/targets/2/name", "/databases/0/targets/2/failureDomain",
+        "/databases/0/targets/2/address", "/databases/0/requests/1/name",
+        "/databases/0/requests/1/effect", "/databases/0/requests/2/deadlineMs",
+        "/databases/0/requests/2/colour"})
+    CHECK_MESSAGE(std::count(found.begin(), found.end(), it) == 1, it);
+  CHECK(found.size() == 7);
+}
+
+TEST_CASE("questionnaire, nothing in it, asks for each part") {
+  auto it = generateConfiguration(
+      R"({"team":"a","failureDomains":[],"databases":[]})");
+  REQUIRE_FALSE(it);
+  CHECK(it.error().size() == 2);
+}
