--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -20,6 +20,7 @@
 #include "peridotfall/stats.h"
 #include "platform/guarded.h"
 #include "telemetry/metrics.h"
+#include "telemetry/trace.h"
 
 #include <atomic>
 #include <memory>
@@ -51,6 +52,9 @@
 
 private:
   http::Response metricsText();
+  /// Ends the entry's span and tells the caller of its trace.
+  void finish(telemetry::Span span, const StatementAnswer &answer,
+              http::Response &out);
   void serveCaller(http::Request request, const http::Respond &respond);
   void serveStatement(const http::Request &request,
                       const http::Respond &respond);
@@ -61,15 +65,16 @@
   SystemClock Time;
   telemetry::Metrics Counts = telemetry::makeMetrics();
   http::Loops Loops;
+  std::shared_ptr<telemetry::Tracer> Traces;
   ConfigurationInForce Config;
   GroupViews Views;
   Targets Apis;
   Fleet Peers;
   std::shared_ptr<Owner> Local;
   std::shared_ptr<Router> Routes;
-  std::shared_ptr<FailoverDriver> Failover;
   std::shared_ptr<platform::CallCounts> PlatformCalls;
   platform::Api PlatformApi;
+  std::shared_ptr<FailoverDriver> Failover;
   std::shared_ptr<ConfigurationRelay> Relay;
   std::shared_ptr<PlatformSync> Sync;
   std::shared_ptr<http::Server> Callers;
