Install the library, fuzz what parses bytes from outside, and guide developers

Ruled out: a fuzz engine, since a driver with a seeded generator gives the same verdict each time and needs none.

Five programs in fuzz/ (token, configuration, questionnaire, caller request, inner message) check that what is parsed is written and read again alike; scripts/fuzz.sh feeds them.

--- /dev/null
+++ b/fuzz/questionnaire_fuzz.cpp
@@ -0,0 +1,14 @@
+// A file of answers, from an operator.
+
+#include "fuzz.h"
+#include "peridotfall/questionnaire.h"
+
+void peridotfall::fuzz::runOne(const std::string &bytes) {
+  auto it = generateConfiguration(bytes);
+  if (!it) {
+    require(!it.error().empty());
+    return;
+  }
+  auto again = parseConfiguration(writeConfiguration(it.value()));
+  require(again && again.value() == it.value());
+}
