--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -38,6 +38,12 @@
   return it;
 }
 
+platform::GuardOptions guardOptions(const Member &self) {
+  platform::GuardOptions it;
+  it.Seed = self.Incarnation;
+  return it;
+}
+
 } // namespace
 
 Daemon::Daemon(DaemonOptions options, const DaemonTls &tls)
@@ -56,18 +62,19 @@
           std::make_shared<Owner>(Time, Options.Self.Vm, Config, Apis, Views)),
       Routes(
           std::make_shared<Router>(Loops, Time, Config, Peers, Views, *Local)),
-      Failover(std::make_shared<FailoverDriver>(
-          Loops.at(0), Time, Config, Peers, Apis, Views,
+      PlatformCalls(std::make_shared<platform::CallCounts>()),
+      PlatformApi(platform::makeGuarded(
           telemetry::countCalls(platform::makeHttpPlatform(
                                     Loops.at(0), {.Address = Options.Platform}),
                                 Counts),
+          Loops.at(0), Time, guardOptions(Peers.self()), PlatformCalls)),
+      Failover(std::make_shared<FailoverDriver>(
+          Loops.at(0), Time, Config, Peers, Apis, Views, PlatformApi,
           failover::timingsFor(Options.ProbeInterval))),
-      Sync(std::make_shared<PlatformSync>(
-          Loops.at(0),
-          telemetry::countCalls(platform::makeHttpPlatform(
-                                    Loops.at(0), {.Address = Options.Platform}),
-                                Counts),
-          Config, Peers)) {
+      Relay(std::make_shared<ConfigurationRelay>(Loops.at(0), Time, Config,
+                                                 Peers, Options.Peers)),
+      Sync(std::make_shared<PlatformSync>(Loops.at(0), Time, PlatformApi, Relay,
+                                          Peers)) {
   http::ServerOptions callers;
   callers.Address = Options.ListenCallers;
   callers.Tls = tls.Callers;
@@ -98,9 +105,18 @@
         {"--listen_inner", "an address that is free", ec.message()});
   if (!findings.empty())
     return findings;
+  Peers.listeningOn(innerPort());
+  Relay->start();
   Traces->start();
   Sync->start();
-  Failover->start([owner = Local] { owner->giveUpLate(); });
+  Failover->start([this] {
+    Local->giveUpLate();
+    Local->tend([this](const TargetConfig &it) {
+      auto config = Config.get();
+      auto ranked = Peers.ranked(*config, it);
+      return ranked.empty() || ranked.front().Vm == Peers.self().Vm;
+    });
+  });
   telemetry::log(Event::Started,
                  {field("vm", Options.Self.Vm.Value),
                   field("callers", callerPort()), field("inner", innerPort())});
@@ -111,6 +127,7 @@
   constexpr std::chrono::milliseconds Step{10};
   telemetry::log(Event::Stopping, {field("limit_ms", limit.count())});
   Draining = true;
+  Relay->leave();
   Callers->drain();
   auto end = Time.now() + limit;
   while ((Serving > 0 || Local->inFlight() > 0) && Time.now() < end)
@@ -118,6 +135,7 @@
   bool finished = Serving == 0 && Local->inFlight() == 0;
   Failover->stop();
   Sync->stop();
+  Relay->stop();
   Traces->stop();
   Inner->drain();
   Callers->stop();
@@ -131,7 +149,10 @@
   if (Draining)
     return {StatusUnavailable, {}, "shutting down\n"};
   if (!Config.get())
-    return {StatusUnavailable, {}, "no configuration in force yet\n"};
+    return {StatusUnavailable,
+            {},
+            "no configuration in force yet; platform: " + Sync->lastAnswer() +
+                "; " + Relay->peersTried() + "\n"};
   return {StatusOk, {}, "ready\n"};
 }
 
@@ -208,6 +229,8 @@
 
 void Daemon::serveInner(const http::Request &request,
                         const http::Respond &respond) {
+  if (Relay->serve(request, respond))
+    return;
   if (request.Path == messages::PeerPath) {
     auto config = Config.get();
     messages::PeerInfo info{Peers.self(), config ? config->Revision : 0};
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <compare>
 #include <string>
+#include <vector>
 
 namespace peridotfall {
 
@@ -23,6 +24,7 @@
   std::string ListenCallers;
   std::string ListenInner;
   std::string Platform;
+  std::string Peers;
   std::string TokenKeys;
   http::TlsFiles CallerTls;
   http::TlsFiles InnerTls;
@@ -41,6 +43,7 @@
   std::string ListenCallers = "127.0.0.1:0";
   std::string ListenInner = "127.0.0.1:0";
   std::string Platform;
+  std::vector<std::string> Peers; ///< Asked where the platform is down.
   TokenKeys Keys;
   http::TlsFiles CallerTls; ///< Empty: plain text.
   http::TlsFiles InnerTls;  ///< Empty: plain text. Else mutual.
