--- /dev/null
+++ b/tests/proof/owner_test.cpp
@@ -0,0 +1,83 @@
+#include "proof/owner.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace peridotfall;
+using namespace peridotfall::proof;
+
+namespace {
+
+constexpr milliseconds Settle{100};
+
+struct OwnerFixture {
+  Simulation Sim{1};
+  Network Net{Sim, milliseconds(1)};
+  History Past;
+  Safeguards Guards;
+  Steps Reached;
+  Setting All{Sim, Net, Past, Guards, Reached};
+  NodeId Self = Net.add();
+  FakeTarget First{All, Net.add(), TargetName("t0"), 4};
+  FakeTarget Second{All, Net.add(), TargetName("t1"), 4};
+  Owner It{All, Self, {&First, &Second}, 2};
+  std::optional<StatementAnswer> Answer;
+
+  OwnerFixture() {
+    First.found(true, nullptr);
+    Second.found(false, &First);
+  }
+
+  StatementAnswer run(Verb what, const std::string &transaction) {
+    StatementRequest request;
+    request.Id = {Sim.Rng.next()};
+    request.What = what;
+    request.Target = First.name();
+    request.Transaction = transaction;
+    request.Budget = milliseconds(1'000);
+    request.Params = paramsOf({{1}, {1}, {1}, "t1", 1});
+    Answer.reset();
+    It.execute(request, [this](StatementAnswer it) { Answer = std::move(it); });
+    Sim.runFor(Settle);
+    REQUIRE(Answer.has_value());
+    return *Answer;
+  }
+  /// The target is fenced, and leads again in the higher term.
+  void leadAgain() {
+    CHECK(First.fence(2).Outcome == failover::StepOutcome::Done);
+    CHECK(First.promote(2).Outcome == failover::StepOutcome::Done);
+    CHECK(Second.follow(2, &First).Outcome == failover::StepOutcome::Done);
+    Sim.runFor(Settle);
+  }
+  bool anythingRan() const {
+    return std::any_of(First.log().begin(), First.log().end(),
+                       [](const LogRecord &it) { return !it.Changes.empty(); });
+  }
+};
+
+} // namespace
+
+// A caller's transaction was open when its target was fenced, and the target
+// led again in a higher term. It had dropped the transaction, so the caller's
+// next statement ran and committed alone, and the commit was told "not run".
+TEST_CASE_FIXTURE(OwnerFixture, "owner, target leads again under an open "
+                                "transaction, runs no statement of it alone") {
+  SUBCASE("without the term of the transaction") {
+    Guards.TransactionTerm = false;
+    auto opened = run(Verb::Begin, "");
+    leadAgain();
+    auto it = run(Verb::Statement, opened.Transaction);
+    CHECK((it.Effect == Outcome::Done));
+    CHECK(anythingRan());
+  }
+  SUBCASE("with it") {
+    auto opened = run(Verb::Begin, "");
+    leadAgain();
+    auto it = run(Verb::Statement, opened.Transaction);
+    CHECK((it.Effect == Outcome::NotRun));
+    CHECK((it.Code == AnswerCode::Fenced));
+    CHECK_FALSE(anythingRan());
+    CHECK(It.inFlight() == 0);
+  }
+}
--- a/tests/proof/safeguards.h
+++ b/tests/proof/safeguards.h
@@ -17,6 +17,7 @@
   bool IdempotencyCheck = true;   ///< At the primary, before it runs.
   bool NoBlindRepeat = true;      ///< Without a key, never sent twice.
   bool NotBefore = true;          ///< Replicas that are behind refuse.
+  bool ReplicaTerm = true;        ///< A replica's answer is of the term.
   bool PrimaryOnly = true;        ///< After an unknown outcome.
   bool ReadsConfirmed = true;     ///< Reads at the primary, too.
   bool TruthfulNotRun = true;     ///< Never after bytes have left.
