Show each promise broken with its safeguard taken out

Cause: a run without violations says little if it would have none without the safeguards either. Change: for eleven safeguards a test takes one out and names the violation that the checker then reports, and the same runs with all kept report none. Daemons no longer take by hearsay a view of the term they know: it made them forget which target leaves.

--- a/tests/proof/coordinator.h
+++ b/tests/proof/coordinator.h
@@ -44,6 +44,7 @@
   void tick(const std::vector<failover::OwnedTarget> &owned);
   void reset() { Group.reset(); }
   NodeId node() const { return Self; }
+  bool observes() const { return Group.has_value(); }
   bool leads() const { return Group && Group->Running; }
 
 private:
--- a/tests/proof/daemon.cpp
+++ b/tests/proof/daemon.cpp
@@ -53,6 +53,7 @@
 
 void Daemon::tick() {
   Failover.tick(Requests.owned());
+  Known.setObserves(Failover.observes());
   At.Net.timer(Node, TickInterval, [this] { tick(); });
 }
 
--- a/tests/proof/peers.cpp
+++ b/tests/proof/peers.cpp
@@ -39,6 +39,7 @@
   Leaving.clear();
   Listed.clear();
   View = {};
+  Observes = false;
   InForce = std::make_unique<ConfigurationInForce>();
   Unguarded = {};
   for (std::size_t n = 0; n < Others.size(); ++n) {
@@ -99,7 +100,7 @@
           !At.Guards.RevisionNeverFalls ? Unguarded
           : config                      ? *config
                                         : Configuration(),
-          It.Leaving};
+          It.Leaving, Observes};
 }
 
 void Peers::ping(std::size_t peer) {
@@ -111,7 +112,10 @@
           return;
         Answered[vm] = At.Sim.now();
         Leaving[vm] = news.value().Leaving;
-        offerView(news.value().View);
+        // What a daemon has by hearsay may be old within the same term: a
+        // leaving target would be forgotten again.
+        if (news.value().Observes || news.value().View.InTerm > View.InTerm)
+          offerView(news.value().View);
         offerConfiguration(news.value().InForce);
       });
   At.Net.timer(Self, PingInterval + milliseconds(At.Sim.Rng.below(20)),
--- a/tests/proof/peers.h
+++ b/tests/proof/peers.h
@@ -22,6 +22,7 @@
   GroupView View;
   Configuration InForce;
   bool Leaving = false;
+  bool Observes = false; ///< It sees the targets itself.
 
   auto operator<=>(const News &) const = default;
 };
@@ -43,6 +44,8 @@
   const GroupView &view() const { return View; }
   /// Takes a view of a term that is not lower.
   void offerView(const GroupView &it);
+  /// Whether this daemon sees the targets itself.
+  void setObserves(bool observes) { Observes = observes; }
   void offerConfiguration(const Configuration &it);
   News news() const;
   void setLeaving() { It.Leaving = true; }
@@ -61,6 +64,7 @@
   std::map<VmName, bool> Leaving;
   std::vector<Member> Listed;
   GroupView View;
+  bool Observes = false;
   std::unique_ptr<ConfigurationInForce> InForce;
   Configuration Unguarded; ///< In place of it, without the safeguard.
 };
--- /dev/null
+++ b/tests/proof/safeguards_test.cpp
@@ -0,0 +1,68 @@
+#include "proof/soak.h"
+#include "proof/world.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace peridotfall::proof;
+
+namespace {
+
+constexpr std::chrono::seconds Span{6};
+
+/// One safeguard, what breaks without it, and a seed that shows it.
+struct Without {
+  const char *Name;
+  bool Safeguards::*Switch;
+  Broken Expected;
+  std::uint64_t Seed;
+};
+
+constexpr Without Table[] = {
+    {"confirmation", &Safeguards::Confirmation, Broken::Lost, 4},
+    {"idempotency check", &Safeguards::IdempotencyCheck, Broken::Doubled, 1},
+    {"no blind repeat", &Safeguards::NoBlindRepeat, Broken::Doubled, 2},
+    {"not before", &Safeguards::NotBefore, Broken::OwnWriteUnseen, 9},
+    {"primary only", &Safeguards::PrimaryOnly, Broken::OwnWriteUnseen, 74},
+    {"truthful not run", &Safeguards::TruthfulNotRun, Broken::FalseNotRun, 1},
+    {"answer id", &Safeguards::AnswerIdChecked, Broken::OwnWriteUnseen, 8},
+    {"revision", &Safeguards::RevisionNeverFalls, Broken::RevisionFell, 1},
+    {"read back", &Safeguards::LostAnswerReadBack, Broken::FalseRefusal, 2},
+    {"drain waits", &Safeguards::DrainWaits, Broken::CutByShutdown, 24},
+};
+
+bool reports(const std::vector<Violation> &all, Broken what) {
+  return std::any_of(all.begin(), all.end(),
+                     [&](const Violation &it) { return it.What == what; });
+}
+
+} // namespace
+
+// The same random run twice: with one safeguard taken out the caller sees the
+// promise broken, with all of them kept nothing is.
+TEST_CASE("safeguards, each taken out, break their promise, and kept do not") {
+  for (const auto &it : Table) {
+    CAPTURE(it.Name);
+    Safeguards without;
+    without.*it.Switch = false;
+    CHECK(reports(runSoak(it.Seed, Span, without).Violations, it.Expected));
+  }
+  for (std::uint64_t seed : {1, 2, 4, 8, 9, 24, 74})
+    CHECK(runSoak(seed, Span).Violations.empty());
+}
+
+// A replica leaves and goes on answering; callers read. Without the safeguard
+// it still gets reads after the limit.
+TEST_CASE("safeguards, leaving replica, gets no new work after the limit") {
+  auto runWith = [](bool avoided) {
+    Safeguards guards;
+    guards.LeavingTargetAvoided = avoided;
+    World world(1, guards);
+    world.runFor(milliseconds(1'500));
+    world.leaveReplica();
+    world.runFor(2 * LeavingLimit);
+    return checkHistory(world.finish());
+  };
+  CHECK(reports(runWith(false), Broken::WorkAtLeaving));
+  CHECK(runWith(true).empty());
+}
--- a/tests/proof/world.h
+++ b/tests/proof/world.h
@@ -34,6 +34,7 @@
   void applyConfiguration() { Admin->apply(); }
   /// The primary leaves, and one entry daemon ends in order.
   void leave();
+  void leaveReplica() { replica()->setLeaving(true); }
   void restartAll();
 
   /// Heals all, lets callers go on for a while, then ends the run.
