Wait in the tracer's test until the entry daemon knows the owner

Cause: membership now learns of other daemons by probes; until then the entry daemon takes the owner's place, and the order made no inner hop. The test waited only until orders were served. Change: it waits until the entry names the owner, too; what it checks is the same.

--- a/tests/telemetry/trace_test.cpp
+++ b/tests/telemetry/trace_test.cpp
@@ -2,6 +2,7 @@
 
 #include "base/document.h"
 #include "daemon/daemon.h"
+#include "daemon/status.h"
 #include "standin/platform.h"
 #include "standin/target.h"
 
@@ -182,11 +183,26 @@
     return call(Loops, Entry->callerPort(), it);
   }
 
-  /// Until both daemons have configuration and members.
+  /// Who owns the first target, as the entry daemon sees it.
+  std::string ownerAtEntry() {
+    http::Request it;
+    it.Method = "GET";
+    it.Path = StatusPath;
+    auto json =
+        Json::parse(call(Loops, Entry->innerPort(), it).Body, nullptr, false);
+    if (!json.is_object() || json["databases"].empty())
+      return "";
+    return json["databases"][0]["targets"][0]["owner"];
+  }
+
+  /// Until orders are served and the entry daemon knows the owner; before, it
+  /// knows only itself and takes the owner's place.
   void waitUntilServing() {
     auto end = std::chrono::steady_clock::now() + Patience;
-    while (order("CREATE TABLE IF NOT EXISTS orders(item)", "").Status != 200 &&
-           std::chrono::steady_clock::now() < end)
+    while (
+        (order("CREATE TABLE IF NOT EXISTS orders(item)", "").Status != 200 ||
+         ownerAtEntry() != "vm-owner") &&
+        std::chrono::steady_clock::now() < end)
       std::this_thread::sleep_for(milliseconds(50));
   }
 };
