Read the list of VMs before the first configuration is in force

A daemon whose settings name no inner address told the others ":PORT", which they took over the list's address; and one that had the configuration before the list owned every target in its own view.

Change: an empty host is told as unknown; the first configuration is offered after a list was asked for, and also where that fails.

Conclusion: ownership right after a start no longer overlaps for the time between two lists.

--- a/src/daemon/fleet.cpp
+++ b/src/daemon/fleet.cpp
@@ -60,7 +60,7 @@
   auto address = Self.InnerAddress;
   auto host = address.substr(0, address.rfind(':'));
   // Who listens on all addresses names none; others go by the list of VMs.
-  bool any = host == "0.0.0.0" || host == "[::]";
+  bool any = host.empty() || host == "0.0.0.0" || host == "[::]";
   std::lock_guard guard(Lock);
   View.setOwnAddress(any ? "" : host + ":" + std::to_string(port));
 }
--- a/src/daemon/platform_sync.cpp
+++ b/src/daemon/platform_sync.cpp
@@ -88,7 +88,7 @@
   if (it) {
     auto parsed = parseConfiguration(it.value().Value);
     if (parsed)
-      Relay->offerConfiguration(std::move(parsed.value()));
+      offer(std::move(parsed.value()));
     else
       telemetry::log(
           Event::ConfigurationRejected,
@@ -114,6 +114,23 @@
   NextWatch = Time.now() + FailingPause;
 }
 
+void PlatformSync::offer(Configuration config) {
+  if (std::exchange(Begun, true)) {
+    Relay->offerConfiguration(std::move(config));
+    return;
+  }
+  // Failure: a new daemon has the configuration and no list of VMs yet.
+  // Symptom: alone in its view, it owns targets that another owns already.
+  // Reading the list before its first configuration is in force suffices;
+  // where that fails it goes on, as the platform's outage must not stop it.
+  Api.ListVms([self = shared_from_this(), config = std::move(config)](
+                  const Result<std::vector<Member>> &it) {
+    if (it)
+      self->Relay->offerList(it.value());
+    self->Relay->offerConfiguration(config);
+  });
+}
+
 void PlatformSync::listVms() {
   NextList = Time.now() + (Failing ? FailingPause : ListPeriod);
   Api.ListVms(
--- a/src/daemon/platform_sync.h
+++ b/src/daemon/platform_sync.h
@@ -33,6 +33,7 @@
   void tick();
   void watch();
   void watched(std::uint64_t attempt, const Result<platform::Object> &it);
+  void offer(Configuration config);
   void listVms();
   void answered(const char *call, const std::string &error);
 
@@ -46,6 +47,7 @@
   bool Failing = false; ///< The last answer was a failure.
   std::uint64_t Version = 0;
   std::uint64_t Attempt = 0; ///< Of the watch; answers to older ones are late.
+  bool Begun = false;        ///< A configuration was read.
   bool Watcher = true;
   bool Watching = false;
   TimePoint NextRole{};
