--- a/tests/proof/safeguards_test.cpp
+++ b/tests/proof/safeguards_test.cpp
@@ -66,3 +66,19 @@
   CHECK(reports(runWith(false), Broken::WorkAtLeaving));
   CHECK(runWith(true).empty());
 }
+
+// The primary leaves in a settled group: writes are held for a moment, a
+// replica leads, and the old primary is then a replica to be avoided.
+TEST_CASE("safeguards, leaving primary, gets no new work after the limit") {
+  auto runWith = [](bool avoided) {
+    Safeguards guards;
+    guards.LeavingTargetAvoided = avoided;
+    World world(1, guards);
+    world.runFor(milliseconds(8'000));
+    world.leave();
+    world.runFor(2 * LeavingLimit);
+    return checkHistory(world.finish());
+  };
+  CHECK(reports(runWith(false), Broken::WorkAtLeaving));
+  CHECK(runWith(true).empty());
+}
