Give no read of an older term, and never call a repeated commit not run

Cause, found by the fault matrix and by reading beside it: - a returning old primary was read as a replica, with a tail that no other target has; - an owner confirmed a read of the primary only where its own view called the target primary, so one that had been frozen answered unconfirmed; - a commit repeated after its first answer was lost met a forgotten transaction and was told "not run", though the first may have run; - a target drained by the operators still took reads and stayed primary. Change: reads answered in a term older than the group's are "behind"; the request itself says when only the primary may answer; such a commit is looked up under its key at the primary and is unknown otherwise; drained targets are passed over by placement and hand over as leaving ones. Tests: each of the first three has one on the product's own owner and router.

--- a/include/peridotfall/statement.h
+++ b/include/peridotfall/statement.h
@@ -80,6 +80,8 @@
   Term InTerm = 0;    ///< Term the sender believes in; 0: any.
   Position NotBefore; ///< Least position the target must hold.
   Duration MaxAge{};  ///< Of a stale read.
+  /// A read that only the primary may answer, and only confirmed.
+  bool PrimaryOnly = false;
   std::string Sql;
   Row Params;
   std::string Key;         ///< Idempotency key; empty: none.
--- a/src/daemon/failover_calls.cpp
+++ b/src/daemon/failover_calls.cpp
@@ -58,6 +58,12 @@
                it](const Result<target::Status> &status) {
     self->took(group, it.Target, status);
     auto now = self->Time.now();
+    failover::TargetReport report;
+    if (status)
+      report = toReport(status.value(), group->Config);
+    // Drained by the operators, a target leaves as if it said so itself.
+    if (auto config = self->Config.get())
+      report.Leaving |= isDrained(*config, it.Target);
     self->run(group, [&](failover::GroupState &state) {
       auto &missed = group->Missed[it.Target];
       missed = status ? 0 : missed + 1;
@@ -66,11 +72,8 @@
                        {field("database", state.Database.Value),
                         field("target", it.Target.Value),
                         field("error", status.error().Message)});
-      return status
-                 ? failover::onStatus(state, it.Target,
-                                      toReport(status.value(), group->Config),
-                                      now)
-                 : failover::onUnreachable(state, it.Target, now);
+      return status ? failover::onStatus(state, it.Target, report, now)
+                    : failover::onUnreachable(state, it.Target, now);
     });
     // Again and again: an entry that has not heard yet opens new ones.
     if (!status)
--- a/src/daemon/owner.cpp
+++ b/src/daemon/owner.cpp
@@ -332,10 +332,39 @@
   return opened;
 }
 
+/// Failure: an old primary comes back with writes that no other target has,
+/// and is read as a replica. Symptom: a session sees a write that is gone with
+/// its next read. A target's last record is of the present term once it
+/// follows the present primary, and then it has dropped such a tail.
+bool Owner::isOfOldTerm(const OwnedWork &work,
+                        const StatementAnswer &answer) const {
+  return work.Request.Mode != Access::Write && !work.inTransaction() &&
+         answer.Effect == Outcome::Done &&
+         answer.At.InTerm < Views.get(work.Request.Database).InTerm;
+}
+
+/// Failure: this owner's view of who leads is older or newer than the entry's.
+/// Symptom: a read that only the primary may answer is given by a replaced
+/// one. So the request says it, too, and not the owner's view alone.
+bool Owner::needsConfirmation(const OwnedWork &work,
+                              const StatementAnswer &answer) const {
+  const auto &request = work.Request;
+  if (request.Mode != Access::FreshRead)
+    return request.Mode == Access::Write;
+  return request.PrimaryOnly ||
+         Views.get(request.Database).Primary == answer.ServedBy;
+}
+
 void Owner::confirm(const OwnedWork &work, StatementAnswer answer) {
-  bool onPrimary = Views.get(work.Request.Database).Primary == answer.ServedBy;
-  bool needed = work.Request.Mode == Access::Write ||
-                (work.Request.Mode == Access::FreshRead && onPrimary);
+  if (isOfOldTerm(work, answer)) {
+    auto behind = notRun(work.Request, AnswerCode::Behind,
+                         "the target's last record is of an older term");
+    behind.At = answer.At;
+    behind.ServedBy = answer.ServedBy;
+    work.Done(std::move(behind));
+    return;
+  }
+  bool needed = needsConfirmation(work, answer);
   if (answer.Effect != Outcome::Done || !needed) {
     work.Done(std::move(answer));
     return;
--- a/src/daemon/owner.h
+++ b/src/daemon/owner.h
@@ -76,6 +76,9 @@
   void finish(const OwnedWork &work, StatementAnswer answer);
   /// Settles the connection and the slot. \return the answer's transaction.
   std::string settle(const OwnedWork &work, const StatementAnswer &answer);
+  bool isOfOldTerm(const OwnedWork &work, const StatementAnswer &answer) const;
+  bool needsConfirmation(const OwnedWork &work,
+                         const StatementAnswer &answer) const;
   void confirm(const OwnedWork &work, StatementAnswer answer);
   void handOver(OwnerPool &pool, Actions &actions);
   void rollBackIdle(OwnerPool &pool, Actions &actions);
--- a/src/daemon/read_placer.cpp
+++ b/src/daemon/read_placer.cpp
@@ -14,7 +14,7 @@
   if (since > StatusValid)
     return;
   it.Reachable = view.Reachable;
-  it.Leaving = view.Last.Leaving;
+  it.Leaving |= view.Last.Leaving;
   it.Applied = view.Last.Applied;
   it.Age = view.Last.Age;
 }
@@ -68,6 +68,7 @@
     candidate.Name = it.Name;
     candidate.IsPrimary = it.Name == view.Primary;
     candidate.Far = distanceTo(config, it);
+    candidate.Leaving = isDrained(config, it.Name);
     auto known = view.Targets.find(it.Name);
     if (known != view.Targets.end())
       addStatus(candidate, known->second, now);
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -134,8 +134,10 @@
   request.Target = choice.Target;
   if (choice.Target.empty())
     aimAtPrimary(*op, *database, view, request);
-  else if (choice.Target == view.Primary)
+  else if (choice.Target == view.Primary) {
     request.InTerm = view.InTerm;
+    request.PrimaryOnly = true;
+  }
   if (choice.WaitBefore > Duration{})
     later(choice.WaitBefore, [self = shared_from_this(), op,
                               request = std::move(request)]() mutable {
@@ -152,6 +154,7 @@
 /// term; a replaced primary that takes the write cannot confirm it.
 void Router::aimAtPrimary(const Operation &op, const DatabaseConfig &database,
                           const GroupView &view, StatementRequest &request) {
+  request.PrimaryOnly = request.Mode != Access::Write;
   bool known = findTarget(database, view.Primary) != nullptr;
   if (known && op.Misses % 2 == 0) {
     request.Target = view.Primary;
@@ -261,6 +264,7 @@
     op->OutcomeInDoubt = true;
   if (answer.Code == AnswerCode::NotPrimary ||
       answer.Code == AnswerCode::Fenced ||
+      answer.Code == AnswerCode::NotConfirmed ||
       answer.Code == AnswerCode::Unavailable)
     ++op->Misses;
   if (!goOn(op, answer)) {
@@ -283,7 +287,27 @@
   later(pause, [self = shared_from_this(), op] { self->attempt(op); });
 }
 
+/// Failure: the answer to a commit was lost, the transaction's connection
+/// closed, and the caller commits again. Symptom: "the transaction is gone,
+/// not run", though the first commit ran. What is stored under its key tells;
+/// without one, or with nothing stored, the outcome stays unknown.
+bool Router::asksForCommit(const OperationPtr &op,
+                           const StatementAnswer &answer) {
+  auto &request = op->In.Request;
+  if (request.What != Verb::Commit || request.Transaction.empty() ||
+      answer.Code != AnswerCode::TransactionGone)
+    return false;
+  op->OutcomeInDoubt = true;
+  if (request.Key.empty() || op->In.Gone->load() || timeLeft(*op) <= Duration{})
+    return false;
+  request.Transaction.clear();
+  attempt(op);
+  return true;
+}
+
 void Router::end(const OperationPtr &op, StatementAnswer answer) {
+  if (asksForCommit(op, answer))
+    return;
   // "Not run" of the last attempt says nothing of an earlier one in doubt.
   if (op->OutcomeInDoubt && answer.Effect == Outcome::NotRun &&
       op->In.Request.Mode == Access::Write)
@@ -319,8 +343,8 @@
   }
   auto owner = Peers.find(place->Vm);
   if (!owner) {
-    op->Done(notRun(request, AnswerCode::TransactionGone,
-                    "the daemon that held the transaction is gone"));
+    end(op, notRun(request, AnswerCode::TransactionGone,
+                   "the daemon that held the transaction is gone"));
     return;
   }
   sendRemote(op, *owner, request);
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -53,6 +53,8 @@
   void end(const OperationPtr &op, StatementAnswer answer);
   void later(Duration pause, std::function<void()> action);
   void routeTransaction(const OperationPtr &op);
+  /// \return whether the key of a commit without a transaction is looked up.
+  bool asksForCommit(const OperationPtr &op, const StatementAnswer &answer);
   Duration timeLeft(const Operation &op) const;
 
   http::Loops &Loops;
--- a/src/messages/inner.cpp
+++ b/src/messages/inner.cpp
@@ -97,6 +97,7 @@
   out.set_transaction(it.Transaction);
   out.set_budget_us(toMicros(it.Budget));
   out.set_traceparent(it.Traceparent);
+  out.set_primary_only(it.PrimaryOnly);
   return out.SerializeAsString();
 }
 
@@ -124,6 +125,7 @@
   it.Transaction = in.transaction();
   it.Budget = fromMicros(in.budget_us());
   it.Traceparent = in.traceparent();
+  it.PrimaryOnly = in.primary_only();
   return it;
 }
 
--- a/tests/daemon/owner_test.cpp
+++ b/tests/daemon/owner_test.cpp
@@ -297,3 +297,92 @@
   CHECK((it.Effect == Outcome::Unknown));
   loops.stop();
 }
+
+// An old primary comes back with a write that no other target has, and still
+// takes itself for a replica's equal. Read there, a session would see the
+// write, and with its next read no more.
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "read, target's log of an older term, is said behind") {
+  TargetView leader;
+  leader.Reachable = true;
+  leader.Last.IsPrimary = true;
+  leader.Last.CurrentTerm = 2;
+  Views.learnStatus(DatabaseName("orders"), TargetName("depot"), leader);
+  for (auto mode : {Access::FreshRead, Access::StaleRead}) {
+    auto read = request();
+    read.Mode = mode;
+    execute(read);
+    auto call = std::move(Fake.Calls.front());
+    Fake.Calls.clear();
+    auto answer = notRun(call.Request, AnswerCode::Ok, "");
+    answer.Effect = Outcome::Done;
+    answer.At = {1, 9};
+    call.Answer(answer);
+    CHECK((Answers.back().Effect == Outcome::NotRun));
+    CHECK((Answers.back().Code == AnswerCode::Behind));
+  }
+}
+
+// The entry sends a read to the primary it knows. This owner was frozen and
+// takes the target for a replica: without a confirmation a replaced primary
+// would answer, and the session would miss its own write.
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "read for the primary alone, not confirmed, is not "
+                  "answered") {
+  auto read = request();
+  read.Mode = Access::FreshRead;
+  read.PrimaryOnly = true;
+  execute(read);
+  Fake.answer();
+  CHECK((Answers.back().Effect == Outcome::NotRun));
+  CHECK((Answers.back().Code == AnswerCode::NotConfirmed));
+  CHECK(Answers.back().RetryAfter.has_value());
+}
+
+// The answer to a commit was lost, so the owner closed its connection and
+// forgot the transaction. The caller commits again, and is told what is known:
+// never that the transaction did not run.
+TEST_CASE_FIXTURE(OwnerFixture,
+                  "commit asked again, transaction forgotten, is never said "
+                  "not run") {
+  SystemClock clock;
+  http::Loops loops(1);
+  Member self;
+  self.Vm = VmName("vm");
+  self.Domain = DomainName("d");
+  Fleet peers(loops, self, {});
+  std::vector<Verb> asked;
+  Targets forgetful([&](const std::string &) {
+    target::Api api;
+    api.Connect = [&](const target::OnConnection &done) {
+      target::Connection it;
+      it.Execute = [&](const StatementRequest &request, milliseconds,
+                       const target::OnAnswer &answer) {
+        asked.push_back(request.What);
+        answer(notRun(request, AnswerCode::TransactionGone, ""));
+      };
+      it.Close = [] {};
+      it.IsOpen = [] { return true; };
+      done(std::make_shared<const target::Connection>(it));
+    };
+    return api;
+  });
+  auto owner =
+      std::make_shared<Owner>(clock, VmName("vm"), Config, forgetful, Views);
+  auto router =
+      std::make_shared<Router>(loops, clock, Config, peers, Views, *owner);
+  for (const auto *key : {"", "payment-1"}) {
+    RoutedRequest routed{request(Verb::Commit), {}, Gone};
+    routed.Request.Mode = Access::Write;
+    routed.Request.Key = key;
+    routed.Request.Transaction = makeTransactionHandle({VmName("vm"), Press});
+    std::promise<StatementAnswer> answer;
+    router->route(routed, [&](StatementAnswer it) { answer.set_value(it); });
+    auto it = answer.get_future().get();
+    CHECK((it.Effect == Outcome::Unknown));
+    CHECK((it.Code == AnswerCode::TransactionGone));
+  }
+  // With a key, the primary was asked what is stored under it.
+  CHECK((asked == std::vector<Verb>{Verb::Commit}));
+  loops.stop();
+}
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -91,6 +91,7 @@
   StatementAnswer answer(const Work &work);
   StatementAnswer begin(const Work &work);
   StatementAnswer runInTransaction(const Work &work, Transaction &it);
+  StatementAnswer findCommit(const StatementRequest &request);
   StatementAnswer commit(const Work &work, Transaction &it);
   StatementAnswer write(const StatementRequest &request);
   StatementAnswer read(const StatementRequest &request);
--- a/tests/standin/target_statements.cpp
+++ b/tests/standin/target_statements.cpp
@@ -93,6 +93,7 @@
   case Verb::Begin:
     return begin(work);
   case Verb::Commit:
+    return findCommit(request);
   case Verb::Rollback:
     return notRun(request, AnswerCode::TransactionGone, "no transaction");
   case Verb::Statement:
@@ -236,6 +237,15 @@
   return done(request, result);
 }
 
+/// A commit whose answer was lost is found under its key.
+StatementAnswer Target::findCommit(const StatementRequest &request) {
+  if (auto refused = refuseWrite(request))
+    return *refused;
+  if (auto replayed = replay(request, Store.writer()))
+    return *replayed;
+  return notRun(request, AnswerCode::TransactionGone, "no transaction");
+}
+
 StatementAnswer Target::commit(const Work &work, Transaction &it) {
   StatementAnswer out;
   if (auto replayed = replay(work.Request, *it.Session))
