--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -1,6 +1,7 @@
 #include "peridotfall/configuration.h"
 
 #include "base/document.h"
+#include "config/target_reader.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr std::uint64_t MostSlots = 1'000;
-constexpr std::uint64_t MostConnections = 10'000;
 constexpr std::uint64_t MostMilliseconds = 86'400'000;
 constexpr std::uint64_t MostSeconds = 31'536'000;
 constexpr std::size_t TargetsOfGroup = 3;
@@ -30,20 +29,6 @@
   return domain;
 }
 
-TargetConfig readTarget(const Json &json, const std::string &place,
-                        Findings &findings) {
-  ObjectReader it(json, place, findings);
-  TargetConfig target;
-  target.Name = TargetName(it.text("name"));
-  target.Domain = DomainName(it.text("domain"));
-  target.Address = it.text("address");
-  target.Slots = static_cast<std::uint32_t>(it.number("slots", 1, MostSlots));
-  target.Connections =
-      static_cast<std::uint32_t>(it.number("connections", 2, MostConnections));
-  it.finish();
-  return target;
-}
-
 Access readAccess(ObjectReader &it) {
   auto text = it.text("access");
   for (auto mode : {Access::Write, Access::FreshRead, Access::StaleRead})
@@ -78,7 +63,7 @@
   std::size_t n = 0;
   for (const auto &target : it.list("targets"))
     database.Targets.push_back(
-        readTarget(target, at(it.placeOf("targets"), n++), findings));
+        readTarget(target, at(it.placeOf("targets"), n++), "domain", findings));
   n = 0;
   for (const auto &kind : it.list("kinds"))
     database.Kinds.push_back(
--- a/src/config/questionnaire.cpp
+++ b/src/config/questionnaire.cpp
@@ -2,6 +2,7 @@
 
 #include "base/document.h"
 #include "base/encoding.h"
+#include "config/target_reader.h"
 
 #include "peridotfall/limits.h"
 
@@ -59,22 +60,6 @@
   return kind;
 }
 
-TargetConfig readTarget(const Json &json, const std::string &place,
-                        Findings &findings) {
-  constexpr std::uint64_t MostSlots = 1'000;
-  constexpr std::uint64_t MostConnections = 10'000;
-  ObjectReader it(json, place, findings);
-  TargetConfig target;
-  target.Name = TargetName(it.text("name"));
-  target.Domain = DomainName(it.text("failureDomain"));
-  target.Address = it.text("address");
-  target.Slots = static_cast<std::uint32_t>(it.number("slots", 1, MostSlots));
-  target.Connections =
-      static_cast<std::uint32_t>(it.number("connections", 2, MostConnections));
-  it.finish();
-  return target;
-}
-
 DatabaseConfig readDatabase(const Json &json, const std::string &place,
                             Findings &findings) {
   ObjectReader it(json, place, findings);
@@ -82,8 +67,8 @@
   database.Name = DatabaseName(it.text("name"));
   std::size_t n = 0;
   for (const auto &target : it.list("targets"))
-    database.Targets.push_back(
-        readTarget(target, at(it.placeOf("targets"), n++), findings));
+    database.Targets.push_back(readTarget(
+        target, at(it.placeOf("targets"), n++), "failureDomain", findings));
   n = 0;
   for (const auto &request : it.list("requests"))
     database.Kinds.push_back(
--- /dev/null
+++ b/src/config/target_reader.cpp
@@ -0,0 +1,26 @@
+#include "config/target_reader.h"
+
+namespace peridotfall {
+
+namespace {
+
+constexpr std::uint64_t MostSlots = 1'000;
+constexpr std::uint64_t MostConnections = 10'000;
+
+} // namespace
+
+TargetConfig readTarget(const Json &json, const std::string &place,
+                        const char *domainField, Findings &findings) {
+  ObjectReader it(json, place, findings);
+  TargetConfig target;
+  target.Name = TargetName(it.text("name"));
+  target.Domain = DomainName(it.text(domainField));
+  target.Address = it.text("address");
+  target.Slots = static_cast<std::uint32_t>(it.number("slots", 1, MostSlots));
+  target.Connections =
+      static_cast<std::uint32_t>(it.number("connections", 2, MostConnections));
+  it.finish();
+  return target;
+}
+
+} // namespace peridotfall
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller_api.h"
 
 #include "base/document.h"
+#include "http/status.h"
 #include "peridotfall/limits.h"
 #include "target/wire.h"
 
@@ -20,16 +21,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int StatusOk = 200;
-constexpr int StatusBad = 400;
-constexpr int StatusNotFound = 404;
-constexpr int StatusConflict = 409;
-constexpr int StatusGone = 410;
-constexpr int StatusUnprocessable = 422;
-constexpr int StatusBadGateway = 502;
-constexpr int StatusUnavailable = 503;
-constexpr int StatusTimeout = 504;
-
 std::vector<std::string> splitPath(const std::string &path) {
   std::vector<std::string> out;
   std::string part;
@@ -156,26 +147,26 @@
 int statusOf(const StatementAnswer &it) {
   switch (it.Code) {
   case AnswerCode::Ok:
-    return StatusOk;
+    return http::StatusOk;
   case AnswerCode::SqlError:
   case AnswerCode::KeyMismatch:
-    return StatusUnprocessable;
+    return http::StatusUnprocessable;
   case AnswerCode::BadRequest:
-    return StatusBad;
+    return http::StatusBad;
   case AnswerCode::UnknownDatabase:
-    return StatusNotFound;
+    return http::StatusNotFound;
   case AnswerCode::TransactionGone:
   case AnswerCode::PositionLost:
-    return StatusConflict;
+    return http::StatusConflict;
   case AnswerCode::KeyExpired:
-    return StatusGone;
+    return http::StatusGone;
   case AnswerCode::DeadlinePassed:
   case AnswerCode::NotConfirmed:
-    return StatusTimeout;
+    return http::StatusTimeout;
   case AnswerCode::ConnectionLost:
-    return StatusBadGateway;
+    return http::StatusBadGateway;
   default:
-    return StatusUnavailable;
+    return http::StatusUnavailable;
   }
 }
 
@@ -203,7 +194,7 @@
                {"replayed", answer.Replayed}};
   if (!answer.Transaction.empty())
     body["transaction"] = answer.Transaction;
-  return {StatusOk,
+  return {http::StatusOk,
           {{"content-type", "application/json"}},
           body.dump(-1, ' ', false, Json::error_handler_t::replace)};
 }
@@ -238,18 +229,18 @@
                                 const TokenKeys &keys) {
   auto operation = parsePath(request.Path);
   if (!operation)
-    return problem(StatusNotFound, AnswerCode::BadRequest,
+    return problem(http::StatusNotFound, AnswerCode::BadRequest,
                    {"path", "a path of the API", request.Path});
   if (request.Method != "POST")
-    return problem(StatusBad, AnswerCode::BadRequest,
+    return problem(http::StatusBad, AnswerCode::BadRequest,
                    {"method", "POST", request.Method});
   if (!config)
-    return problem(StatusUnavailable, AnswerCode::Unavailable,
+    return problem(http::StatusUnavailable, AnswerCode::Unavailable,
                    {"configuration", "one in force", "none yet"});
   const auto *database = findDatabase(*config, operation->Database);
   if (!database)
     return problem(
-        StatusNotFound, AnswerCode::UnknownDatabase,
+        http::StatusNotFound, AnswerCode::UnknownDatabase,
         {"database", "one of the configuration", operation->Database.Value});
   CallerProblem bad;
   CallerRequest out;
@@ -300,7 +291,7 @@
     detail += (detail.empty() ? "" : "; ") + describe(it, "request");
   auto out =
       problemResponse(problem.Status, problem.Code, Outcome::NotRun, detail);
-  if (problem.Status == StatusUnavailable)
+  if (problem.Status == http::StatusUnavailable)
     out.Fields.push_back({"retry-after", "1"});
   return out;
 }
--- a/src/daemon/configuration_relay.cpp
+++ b/src/daemon/configuration_relay.cpp
@@ -1,6 +1,7 @@
 #include "daemon/configuration_relay.h"
 
 #include "config/fan_out.h"
+#include "http/status.h"
 #include "telemetry/events.h"
 
 #include <asio/post.hpp>
@@ -14,9 +15,6 @@
 using telemetry::Event;
 using telemetry::field;
 
-constexpr int StatusOk = 200;
-constexpr int StatusBad = 400;
-constexpr int StatusNotFound = 404;
 constexpr milliseconds TickPeriod{100};
 /// Of a probe or an announcement: several times what the slowest link between
 /// regions needs, and short enough that three lost in a row stay within the
@@ -157,7 +155,7 @@
   call(member.InnerAddress, messages::NewsPath,
        messages::encode(makeNews(told)), NewsLimit,
        [this, member](const http::CallResult &result) {
-         auto news = result && result.value().Status == StatusOk
+         auto news = result && result.value().Status == http::StatusOk
                          ? messages::decodeNews(result.value().Body)
                          : Result<messages::News>(Error{});
          Peers.withMembership([&](Membership &it) {
@@ -231,7 +229,7 @@
   ConfigurationFlight.Busy = true;
   call(address, messages::ConfigurationPath, "", FetchLimit,
        [this, spread, address, done](const http::CallResult &result) {
-         auto config = result && result.value().Status == StatusOk
+         auto config = result && result.value().Status == http::StatusOk
                            ? messages::decodeConfiguration(result.value().Body)
                            : Result<Configuration>(Error{
                                  ErrorCode::NotFound,
@@ -249,7 +247,7 @@
   ListFlight.Busy = true;
   call(address, messages::MembersPath, "", FetchLimit,
        [this, done](const http::CallResult &result) {
-         if (result && result.value().Status == StatusOk) {
+         if (result && result.value().Status == http::StatusOk) {
            auto list = messages::decodeVmList(result.value().Body);
            if (list)
              takeList(list.value());
@@ -326,7 +324,7 @@
          // Failure: an inner node of the tree is dead or cut off. Symptom: all
          // below it wait for a comparison with a peer. Telling its children in
          // its place suffices, since the tree is known to all.
-         if (!result || result.value().Status != StatusOk)
+         if (!result || result.value().Status != http::StatusOk)
            passOn(news, child.Vm);
        });
 }
@@ -335,16 +333,17 @@
                                const http::Respond &respond) {
   if (request.Path == messages::ConfigurationPath) {
     auto config = Config.get();
-    respond(config ? http::Response{StatusOk, {}, messages::encode(*config)}
-                   : http::Response{StatusNotFound, {}, ""});
+    respond(config
+                ? http::Response{http::StatusOk, {}, messages::encode(*config)}
+                : http::Response{http::StatusNotFound, {}, ""});
     return true;
   }
   if (request.Path == messages::MembersPath) {
     post([this, respond] {
       if (Vms.stamp() == 0)
-        respond({StatusNotFound, {}, ""});
+        respond({http::StatusNotFound, {}, ""});
       else
-        respond({StatusOk,
+        respond({http::StatusOk,
                  {},
                  messages::encode(messages::VmList{Vms.stamp(), Vms.list()})});
     });
@@ -354,11 +353,11 @@
     return false;
   auto news = messages::decodeNews(request.Body);
   if (!news) {
-    respond({StatusBad, {}, ""});
+    respond({http::StatusBad, {}, ""});
     return true;
   }
   post([this, news = std::move(news.value()), respond] {
-    respond({StatusOk, {}, messages::encode(answerNews(news))});
+    respond({http::StatusOk, {}, messages::encode(answerNews(news))});
     bool pass = news.TreeId != 0 && firstTime(news.TreeId);
     take(news, news.TreeId == 0, [this, news, pass] {
       if (!pass)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/caller_api.h"
 #include "daemon/status.h"
+#include "http/status.h"
 #include "messages/inner.h"
 #include "platform/http_platform.h"
 #include "target/http_target.h"
@@ -21,10 +22,6 @@
 using telemetry::field;
 using telemetry::Link;
 
-constexpr int StatusOk = 200;
-constexpr int StatusBad = 400;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
 constexpr auto MetricsPath = "/metrics";
 
 std::uint64_t startTime() {
@@ -158,13 +155,13 @@
 
 http::Response Daemon::readiness() const {
   if (Draining)
-    return {StatusUnavailable, {}, "shutting down\n"};
+    return {http::StatusUnavailable, {}, "shutting down\n"};
   if (!Config.get())
-    return {StatusUnavailable,
+    return {http::StatusUnavailable,
             {},
             "no configuration in force yet; platform: " + Sync->lastAnswer() +
                 "; " + Relay->peersTried() + "\n"};
-  return {StatusOk, {}, "ready\n"};
+  return {http::StatusOk, {}, "ready\n"};
 }
 
 Stats Daemon::stats() {
@@ -187,14 +184,14 @@
 
 http::Response Daemon::metricsText() {
   stats();
-  return {StatusOk,
+  return {http::StatusOk,
           {{"content-type", "text/plain; version=0.0.4"}},
           telemetry::writeText(Counts)};
 }
 
 void Daemon::serveCaller(http::Request request, const http::Respond &respond) {
   if (request.Path == "/healthz")
-    respond({StatusOk, {}, "ok\n"});
+    respond({http::StatusOk, {}, "ok\n"});
   else if (request.Path == "/readyz")
     respond(readiness());
   else if (request.Path == MetricsPath)
@@ -247,12 +244,13 @@
     auto config = Config.get();
     messages::PeerInfo info{Peers.self(), config ? config->Revision : 0};
     info.Self.Leaving = Draining;
-    respond({StatusOk, {}, messages::encode(info)});
+    respond({http::StatusOk, {}, messages::encode(info)});
     return;
   }
   if (request.Path == messages::GroupViewPath) {
     auto body = Failover->answerView(request.Body);
-    respond({body ? StatusOk : StatusNotFound, {}, body.value_or("")});
+    respond(
+        {body ? http::StatusOk : http::StatusNotFound, {}, body.value_or("")});
     return;
   }
   if (request.Path == MetricsPath) {
@@ -265,12 +263,12 @@
     return;
   }
   if (request.Path != messages::StatementPath) {
-    respond({StatusNotFound, {}, ""});
+    respond({http::StatusNotFound, {}, ""});
     return;
   }
   auto decoded = messages::decodeStatementRequest(request.Body);
   if (!decoded) {
-    respond({StatusBad, {}, ""});
+    respond({http::StatusBad, {}, ""});
     return;
   }
   telemetry::countBytes(Counts, Link::Inner, Direction::In,
@@ -284,7 +282,7 @@
         Traces->finishSpan(span);
         auto body = messages::encode(answer);
         telemetry::countBytes(Counts, Link::Inner, Direction::Out, body.size());
-        respond({StatusOk, {}, std::move(body)});
+        respond({http::StatusOk, {}, std::move(body)});
       });
 }
 
--- a/src/daemon/status.cpp
+++ b/src/daemon/status.cpp
@@ -1,13 +1,12 @@
 #include "daemon/status.h"
 
 #include "base/document.h"
+#include "http/status.h"
 
 namespace peridotfall {
 
 namespace {
 
-constexpr int StatusOk = 200;
-
 Json writeMembers(Fleet &fleet) {
   return fleet.withMembership([](Membership &view) {
     Json out = Json::array();
@@ -96,7 +95,7 @@
               {"members", writeMembers(it.Peers)},
               {"databases", writeDatabases(it)},
               {"platformCalls", writeCalls(it.Calls)}};
-  return {StatusOk, {{"content-type", "application/json"}}, out.dump()};
+  return {http::StatusOk, {{"content-type", "application/json"}}, out.dump()};
 }
 
 } // namespace peridotfall
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,4 +1,5 @@
 #include "http/server_connection.h"
+#include "http/status.h"
 
 #include <array>
 #include <asio/dispatch.hpp>
@@ -10,9 +11,6 @@
 
 namespace {
 
-constexpr int StatusTooLarge = 413;
-constexpr int StatusHeadersTooLarge = 431;
-
 ServerConnection &from(void *self) {
   return *static_cast<ServerConnection *>(self);
 }
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -1,6 +1,7 @@
 #include "platform/http_platform.h"
 
 #include "base/document.h"
+#include "http/status.h"
 
 #include <fmt/format.h>
 #include <utility>
@@ -9,10 +10,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
-constexpr int StatusConflict = 409;
-
 Error toError(const http::TransportError &it) {
   return {it.Kind == http::Failure::NotSent ? ErrorCode::Unavailable
                                             : ErrorCode::Unknown,
@@ -20,9 +17,9 @@
 }
 
 Error toError(int status) {
-  if (status == StatusNotFound)
+  if (status == http::StatusNotFound)
     return {ErrorCode::NotFound, "platform: no such object"};
-  if (status == StatusConflict)
+  if (status == http::StatusConflict)
     return {ErrorCode::Conflict, "platform: another version is stored"};
   // A failing platform may have made the change before it failed.
   return {ErrorCode::Unknown, fmt::format("platform: status {}", status)};
@@ -31,7 +28,7 @@
 Result<Object> readObject(const http::CallResult &result) {
   if (!result)
     return toError(result.error());
-  if (result.value().Status != StatusOk)
+  if (result.value().Status != http::StatusOk)
     return toError(result.value().Status);
   auto json = parseJson(result.value().Body);
   Findings findings;
@@ -60,7 +57,7 @@
 Result<std::vector<Member>> readMembers(const http::CallResult &result) {
   if (!result)
     return toError(result.error());
-  if (result.value().Status != StatusOk)
+  if (result.value().Status != http::StatusOk)
     return toError(result.value().Status);
   auto json = parseJson(result.value().Body);
   if (!json || !json.value().is_array())
--- a/src/target/http_target.cpp
+++ b/src/target/http_target.cpp
@@ -1,5 +1,6 @@
 #include "target/http_target.h"
 
+#include "http/status.h"
 #include "target/wire.h"
 
 #include <algorithm>
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusConflict = 409;
 constexpr std::chrono::milliseconds ControlLimit{500};
 /// A frozen target must be noticed as fast as a dead one, so a probe is given
 /// up well before a primary is suspected.
@@ -35,10 +34,10 @@
                      ? ErrorCode::Unavailable
                      : ErrorCode::Unknown,
                  "target: " + result.error().Message};
-  if (result.value().Status == StatusConflict)
+  if (result.value().Status == http::StatusConflict)
     return Error{ErrorCode::Conflict, "target: has accepted a higher term"};
   auto json = parseJson(result.value().Body);
-  if (result.value().Status == StatusOk && json)
+  if (result.value().Status == http::StatusOk && json)
     if (auto it = statusFromJson(json.value()))
       return *it;
   return Error{ErrorCode::Unknown, "target: answer malformed"};
@@ -63,7 +62,7 @@
                           "target: " + error.Message);
   }
   auto json = parseJson(result.value().Body);
-  if (result.value().Status == StatusOk && json) {
+  if (result.value().Status == http::StatusOk && json) {
     auto answer = answerFromJson(json.value());
     // An answer to another request, late or crossed, must never be passed on
     // as this one's: the caller would read somebody else's rows.
@@ -123,7 +122,7 @@
   channel->call(
       post(ConnectPath, Json::object()), ConnectWait,
       [channel, done = std::move(done)](const http::CallResult &result) {
-        if (result && result.value().Status == StatusOk) {
+        if (result && result.value().Status == http::StatusOk) {
           done(makeConnection(channel));
           return;
         }
--- a/src/telemetry/trace.cpp
+++ b/src/telemetry/trace.cpp
@@ -2,6 +2,7 @@
 
 #include "base/document.h"
 #include "base/encoding.h"
+#include "http/status.h"
 
 #include <algorithm>
 #include <array>
@@ -16,7 +17,6 @@
 constexpr std::size_t TraceparentLength = 55;
 constexpr std::size_t SpanIdAt = 36;
 constexpr std::size_t FlagsAt = 53;
-constexpr int StatusOk = 200;
 constexpr auto TracesPath = "/v1/traces";
 /// Spans of one message to the collector, below what collectors take at once.
 constexpr std::size_t MostSent = 512;
@@ -189,7 +189,7 @@
   Channel->call(std::move(request), Options.SendLimit,
                 [self = shared_from_this(),
                  n = spans.size()](const http::CallResult &it) {
-                  self->taken(n, it && it.value().Status == StatusOk);
+                  self->taken(n, it && it.value().Status == http::StatusOk);
                 });
 }
 
--- a/src/tool/sql.cpp
+++ b/src/tool/sql.cpp
@@ -1,6 +1,7 @@
 #include "base/document.h"
 #include "http/channel.h"
 #include "http/loops.h"
+#include "http/status.h"
 #include "tool/commands.h"
 
 #include <fmt/format.h>
@@ -13,8 +14,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-
 std::string readSession(const std::string &path) {
   std::ifstream in(path);
   std::string token;
@@ -45,7 +44,7 @@
 }
 
 int exitOf(const http::Response &response) {
-  if (response.Status == StatusOk)
+  if (response.Status == http::StatusOk)
     return Success;
   auto json = Json::parse(response.Body, nullptr, false);
   bool unknown = json.is_object() && json.value("outcome", "") == "unknown";
--- a/src/tool/status.cpp
+++ b/src/tool/status.cpp
@@ -1,3 +1,4 @@
+#include "http/status.h"
 #include "base/document.h"
 #include "http/channel.h"
 #include "tool/commands.h"
@@ -13,7 +14,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
 constexpr std::chrono::milliseconds AskLimit{2'000};
 /// Daemons asked at once, so that the tool opens few connections.
 constexpr std::size_t AtOnce = 64;
@@ -30,7 +30,7 @@
   channel->call(request, AskLimit,
                 [channel, promise](const http::CallResult &it) {
                   Answer out;
-                  if (it && it.value().Status == StatusOk)
+                  if (it && it.value().Status == http::StatusOk)
                     out = Json::parse(it.value().Body, nullptr, false);
                   if (out && !out->is_object())
                     out.reset();
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -1,4 +1,5 @@
 #include "standin/platform.h"
+#include "http/status.h"
 
 #include <asio/steady_timer.hpp>
 #include <charconv>
@@ -8,10 +9,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusBad = 400;
-constexpr int StatusNotFound = 404;
-constexpr int StatusConflict = 409;
 /// As long as any caller's own limit: an answer that never comes.
 constexpr std::chrono::milliseconds Never{60'000};
 
@@ -80,7 +77,7 @@
   if (Down) {
     // Silence, as from a store that is away: the caller's limit decides.
     guard.unlock();
-    later(Never, [respond] { respond({StatusBad, {}, ""}); });
+    later(Never, [respond] { respond({http::StatusBad, {}, ""}); });
     return;
   }
   ++Counts[request.Method + " " +
@@ -101,13 +98,13 @@
   auto path = request.Path;
   if (path == "/vms") {
     std::lock_guard guard(Lock);
-    respond(jsonResponse(StatusOk, Vms));
+    respond(jsonResponse(http::StatusOk, Vms));
   } else if (takePrefix(path, "/watch/")) {
     watch(path, queryNumber(request.Path, "after"),
           std::chrono::milliseconds(queryNumber(request.Path, "wait_ms")),
           respond);
   } else if (!takePrefix(path, "/objects/")) {
-    respond({StatusNotFound, {}, ""});
+    respond({http::StatusNotFound, {}, ""});
   } else if (request.Method == "GET") {
     respond(get(path));
   } else {
@@ -119,7 +116,7 @@
       --LoseAnswers;
     guard.unlock();
     if (lose)
-      later(Never, [respond] { respond({StatusBad, {}, ""}); });
+      later(Never, [respond] { respond({http::StatusBad, {}, ""}); });
     else
       respond(std::move(response));
   }
@@ -129,8 +126,8 @@
   std::lock_guard guard(Lock);
   auto it = Objects.find(key);
   if (it == Objects.end())
-    return {StatusNotFound, {}, ""};
-  return jsonResponse(StatusOk, toJson(it->second));
+    return {http::StatusNotFound, {}, ""};
+  return jsonResponse(http::StatusOk, toJson(it->second));
 }
 
 http::Response Platform::put(const std::string &key, std::uint64_t expected,
@@ -144,15 +141,15 @@
       auto current = object;
       if (current.Version == 0)
         Objects.erase(key);
-      return jsonResponse(StatusConflict, toJson(current));
+      return jsonResponse(http::StatusConflict, toJson(current));
     }
     object = {expected + 1, value};
     stored = object;
     waiters = std::exchange(Waiters[key], {});
   }
   for (const auto &it : waiters)
-    it.Done(jsonResponse(StatusOk, toJson(stored)));
-  return jsonResponse(StatusOk, toJson(stored));
+    it.Done(jsonResponse(http::StatusOk, toJson(stored)));
+  return jsonResponse(http::StatusOk, toJson(stored));
 }
 
 void Platform::watch(const std::string &key, std::uint64_t after,
@@ -164,7 +161,7 @@
     if (it == Objects.end() || it->second.Version <= after)
       Waiters[key].push_back({after, respond});
     else {
-      respond(jsonResponse(StatusOk, toJson(it->second)));
+      respond(jsonResponse(http::StatusOk, toJson(it->second)));
       return;
     }
   }
@@ -176,14 +173,14 @@
 http::Response Platform::control(const std::string &body) {
   auto parsed = parseJson(body);
   if (!parsed)
-    return {StatusBad, {}, "not JSON"};
+    return {http::StatusBad, {}, "not JSON"};
   const auto &it = parsed.value();
   std::lock_guard guard(Lock);
   Down = it.value("down", Down);
   Delay = std::chrono::milliseconds(it.value("delayMs", Delay.count()));
   LoseAnswers = it.value("loseAnswers", LoseAnswers);
   Vms = it.value("vms", Vms);
-  return jsonResponse(StatusOk, Json(Counts));
+  return jsonResponse(http::StatusOk, Json(Counts));
 }
 
 } // namespace peridotfall::standin
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -1,5 +1,6 @@
 #include "standin/target.h"
 
+#include "http/status.h"
 #include "standin/platform.h"
 #include "target/wire.h"
 
@@ -9,14 +10,6 @@
 
 namespace peridotfall::standin {
 
-namespace {
-
-constexpr int StatusOk = 200;
-constexpr int StatusBad = 400;
-constexpr int StatusNotFound = 404;
-
-} // namespace
-
 Target::Target(http::Loops &loops, TargetOptions options)
     : Pool(loops), Options(std::move(options)), IsPrimary(Options.Primary),
       CaughtUp(std::chrono::steady_clock::now()) {
@@ -73,7 +66,7 @@
                     const http::Respond &respond) {
   auto body = parseJson(request.Body);
   if (!body || !body.value().is_object()) {
-    respond({StatusBad, {}, ""});
+    respond({http::StatusBad, {}, ""});
     return;
   }
   if (request.Path == "/control") {
@@ -85,7 +78,7 @@
   try {
     route(request, body.value(), respond);
   } catch (const Json::exception &) {
-    respond({StatusBad, {}, ""});
+    respond({http::StatusBad, {}, ""});
   }
 }
 
@@ -97,7 +90,7 @@
   else if (path == target::ConnectPath)
     connect(request.Connection, respond);
   else if (path == target::StatusPath)
-    respond(jsonResponse(StatusOk, target::toJson(status())));
+    respond(jsonResponse(http::StatusOk, target::toJson(status())));
   else if (path == target::AwaitPath)
     await(body, respond);
   else if (path == target::FencePath)
@@ -109,7 +102,7 @@
   else if (path == "/log")
     serveLog(body, respond);
   else
-    respond({StatusNotFound, {}, ""});
+    respond({http::StatusNotFound, {}, ""});
 }
 
 void Target::closed(ConnectionHandle it) {
@@ -127,7 +120,7 @@
     Options.ServiceTime = milliseconds(body["serviceMs"].get<int>());
   Cut = body.value("cut", Cut);
   Leaving = body.value("leaving", Leaving);
-  return jsonResponse(StatusOk, target::toJson(status()));
+  return jsonResponse(http::StatusOk, target::toJson(status()));
 }
 
 } // namespace peridotfall::standin
--- a/tests/standin/target_log.cpp
+++ b/tests/standin/target_log.cpp
@@ -1,5 +1,6 @@
 // Terms, fencing and log shipping of the stand-in target.
 
+#include "http/status.h"
 #include "standin/platform.h"
 #include "standin/target.h"
 #include "target/wire.h"
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusConflict = 409;
 constexpr std::chrono::milliseconds PullWait{200};
 constexpr std::chrono::milliseconds PullLimit{400};
 constexpr std::chrono::milliseconds PullRetry{20};
@@ -72,27 +71,27 @@
 
 http::Response Target::fence(Term term) {
   if (term < CurrentTerm)
-    return jsonResponse(StatusConflict, target::toJson(status()));
+    return jsonResponse(http::StatusConflict, target::toJson(status()));
   if (term > CurrentTerm)
     acceptTerm(term);
-  return jsonResponse(StatusOk, target::toJson(status()));
+  return jsonResponse(http::StatusOk, target::toJson(status()));
 }
 
 http::Response Target::promote(Term term) {
   if (term != CurrentTerm)
-    return jsonResponse(StatusConflict, target::toJson(status()));
+    return jsonResponse(http::StatusConflict, target::toJson(status()));
   if (!IsPrimary) {
     ++Generation;
     applyUpTo(Log.size());
     IsPrimary = true;
     append({{term, last().Index + 1}, {}});
   }
-  return jsonResponse(StatusOk, target::toJson(status()));
+  return jsonResponse(http::StatusOk, target::toJson(status()));
 }
 
 http::Response Target::follow(Term term, const std::string &address) {
   if (term < CurrentTerm || (term == CurrentTerm && IsPrimary))
-    return jsonResponse(StatusConflict, target::toJson(status()));
+    return jsonResponse(http::StatusConflict, target::toJson(status()));
   bool already = Upstream && Upstream->address() == address;
   if (term > CurrentTerm || !already) {
     acceptTerm(term);
@@ -101,7 +100,7 @@
     Received = last();
     pull();
   }
-  return jsonResponse(StatusOk, target::toJson(status()));
+  return jsonResponse(http::StatusOk, target::toJson(status()));
 }
 
 void Target::await(const Json &body, const http::Respond &respond) {
@@ -112,7 +111,7 @@
   wakeWaiters();
   // Answering twice does no harm: the second answer is dropped.
   later(wait, [self = shared_from_this(), respond] {
-    respond(jsonResponse(StatusOk, target::toJson(self->status())));
+    respond(jsonResponse(http::StatusOk, target::toJson(self->status())));
   });
 }
 
@@ -121,7 +120,7 @@
     return CurrentTerm > it.InTerm ||
            (last().InTerm == it.InTerm && last() >= it.At);
   };
-  auto response = jsonResponse(StatusOk, target::toJson(status()));
+  auto response = jsonResponse(http::StatusOk, target::toJson(status()));
   for (const auto &it : AwaitWaiters)
     if (reached(it))
       it.Respond(response);
@@ -145,7 +144,7 @@
   auto after = target::positionFromJson(body.at("after"));
   Term term = body.at("term");
   if (term != CurrentTerm || !IsPrimary) {
-    respond(jsonResponse(StatusConflict, target::toJson(status())));
+    respond(jsonResponse(http::StatusConflict, target::toJson(status())));
     return;
   }
   bool known = after.Index <= Log.size() &&
@@ -162,7 +161,7 @@
 
 http::Response Target::logResponse(Position after) const {
   if (!IsPrimary)
-    return jsonResponse(StatusConflict, target::toJson(status()));
+    return jsonResponse(http::StatusConflict, target::toJson(status()));
   bool known = after.Index <= Log.size() &&
                (after.Index == 0 || Log[after.Index - 1].At == after);
   Json records = Json::array();
@@ -172,9 +171,9 @@
     for (auto n = after.Index; n < end; ++n)
       records.push_back(toJson(Log[n]));
   }
-  return jsonResponse(StatusOk, {{"known", known},
-                                 {"records", records},
-                                 {"last", target::toJson(last())}});
+  return jsonResponse(http::StatusOk, {{"known", known},
+                                       {"records", records},
+                                       {"last", target::toJson(last())}});
 }
 
 void Target::pull() {
@@ -202,7 +201,7 @@
   };
   auto json =
       result ? parseJson(result.value().Body) : Parsed<Json>(Findings{});
-  if (!result || result.value().Status != StatusOk || !json || Cut) {
+  if (!result || result.value().Status != http::StatusOk || !json || Cut) {
     later(PullRetry, again);
     return;
   }
--- a/tests/standin/target_statements.cpp
+++ b/tests/standin/target_statements.cpp
@@ -1,6 +1,7 @@
 // Statements and transactions of the stand-in target.
 
 #include "base/encoding.h"
+#include "http/status.h"
 #include "standin/platform.h"
 #include "standin/target.h"
 #include "target/wire.h"
@@ -12,9 +13,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusBad = 400;
-constexpr int StatusBusy = 503;
 /// How soon a statement that met a lock tries again.
 constexpr std::chrono::milliseconds LockRetry{1};
 
@@ -31,19 +29,19 @@
 void Target::connect(ConnectionHandle connection,
                      const http::Respond &respond) {
   if (Connected.size() >= Options.Connections) {
-    respond({StatusBusy, {}, ""});
+    respond({http::StatusUnavailable, {}, ""});
     return;
   }
   Connected.insert(connection);
   later(Options.ConnectTime,
-        [respond] { respond(jsonResponse(StatusOk, Json::object())); });
+        [respond] { respond(jsonResponse(http::StatusOk, Json::object())); });
 }
 
 void Target::enqueue(const http::Request &request, const Json &body,
                      const http::Respond &respond) {
   auto parsed = target::requestFromJson(body);
   if (!parsed || Connected.count(request.Connection) == 0) {
-    respond({StatusBad, {}, ""});
+    respond({http::StatusBad, {}, ""});
     return;
   }
   auto expires = std::chrono::steady_clock::now() + parsed->Budget;
@@ -79,7 +77,7 @@
     return;
   }
   it.At = std::max(it.At, status().Applied);
-  work.Respond(jsonResponse(StatusOk, target::toJson(it)));
+  work.Respond(jsonResponse(http::StatusOk, target::toJson(it)));
 }
 
 StatementAnswer Target::answer(const Work &work) {
--- a/tools/demo_caller.cpp
+++ b/tools/demo_caller.cpp
@@ -5,6 +5,7 @@
 #include "base/document.h"
 #include "http/channel.h"
 #include "http/loops.h"
+#include "http/status.h"
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -39,11 +40,11 @@
 using Clock = std::chrono::system_clock;
 using std::chrono::milliseconds;
 
-constexpr int StatusOk = 200;
 constexpr milliseconds RequestDeadline{4'000};
 constexpr milliseconds RetryPause{50};
 /// Lookups may be old; before this they might not see the table at all.
 constexpr milliseconds ReplicasCatchUp{500};
+constexpr auto CountMark = "count-mark";
 constexpr milliseconds LastWait{20'000};
 
 std::int64_t nowMs() {
@@ -107,6 +108,7 @@
   void placeOrder(const SessionPtr &it);
   void readBack(const SessionPtr &it, const std::string &ref);
   void lookUp(const SessionPtr &it);
+  void countOrders(const std::function<void()> &then);
   void pause(milliseconds wait, std::function<void()> then);
   /// Sends until it is done, through any daemon, with the same key.
   void send(const SessionPtr &it, const Json &body, const std::string &key,
@@ -151,7 +153,7 @@
               http::findHeader(result.value().Fields, "peridotfall-session");
           if (!token.empty())
             it->Token = std::string(token);
-          if (result.value().Status == StatusOk) {
+          if (result.value().Status == http::StatusOk) {
             done({true, Json::parse(result.value().Body, nullptr, false)});
             return;
           }
@@ -268,18 +270,33 @@
   std::promise<void> counted;
   asio::post(Loop, [self, &counted] {
     self->End = nowMs();
-    auto it = std::make_shared<Session>();
+    self->countOrders([&counted] { counted.set_value(); });
+  });
+  counted.get_future().wait();
+}
+
+/// The count's own write comes after all others in the log, so a read of the
+/// same session sees every order; without it a replica that lags would answer
+/// without the last ones.
+void Load::countOrders(const std::function<void()> &then) {
+  auto it = std::make_shared<Session>();
+  auto read = [self = shared_from_this(), it, then](const Answer &) {
     self->send(it,
                {{"kind", "order-status"},
                 {"sql", "SELECT ref, count(*) FROM orders GROUP BY ref"}},
-               "", [self, &counted](const Answer &answer) {
+               "", [self, then](const Answer &answer) {
                  if (answer.Done)
                    for (const auto &row : answer.Body["rows"])
                      self->Found[row[0].get<std::string>()] = row[1].get<int>();
-                 counted.set_value();
+                 self->Found.erase(CountMark);
+                 then();
                });
-  });
-  counted.get_future().wait();
+  };
+  send(it,
+       {{"kind", "place-order"},
+        {"sql", "INSERT INTO orders(ref, item) VALUES(?, 'count')"},
+        {"params", {CountMark}}},
+       CountMark, read);
 }
 
 /// \return ms from the primary's death to the next acknowledged write, or -1.
