Keep the late hand-over of a new group's leaving primary as known red

Cause: not settled. Tried and reverted: not to hold writes, nor to wait 3 s, while the agreed terms are unread.

--- a/tests/proof/safeguards_test.cpp
+++ b/tests/proof/safeguards_test.cpp
@@ -82,3 +82,18 @@
   CHECK(reports(runWith(false), Broken::WorkAtLeaving));
   CHECK(runWith(true).empty());
 }
+
+// Known red (KNOWN-RED.txt); it has to fail until the fault is mended. The
+// primary of a group that has just begun leaves. The callers see nothing, but
+// the target gets work for longer than the limit.
+TEST_CASE("safeguards, leaving primary of a new group, gets no new work after "
+          "the limit" *
+          doctest::should_fail()) {
+  for (std::uint64_t seed : {37, 79}) {
+    World world(seed, Safeguards{});
+    world.runFor(milliseconds(1'500));
+    world.leave();
+    world.runFor(2 * LeavingLimit);
+    CHECK(checkHistory(world.finish()).empty());
+  }
+}
