Tell the tests of leaving targets once

Cause: three cases ran a world, had a target leave and checked the history in the same eight lines. Change: one function serves all three; seeds, times, safeguards and assertions are the same.

--- a/tests/proof/safeguards_test.cpp
+++ b/tests/proof/safeguards_test.cpp
@@ -36,6 +36,19 @@
                      [&](const Violation &it) { return it.What == what; });
 }
 
+/// Lets a group run for a while, has a target leave, and goes on for twice the
+/// limit. \return what the checker finds.
+std::vector<Violation> runLeaving(std::uint64_t seed, milliseconds before,
+                                  void (World::*leave)(), bool avoided) {
+  Safeguards guards;
+  guards.LeavingTargetAvoided = avoided;
+  World world(seed, guards);
+  world.runFor(before);
+  (world.*leave)();
+  world.runFor(2 * LeavingLimit);
+  return checkHistory(world.finish());
+}
+
 } // namespace
 
 // The same random run twice: with one safeguard taken out the caller sees the
@@ -54,33 +67,19 @@
 // A replica leaves and goes on answering; callers read. Without the safeguard
 // it still gets reads after the limit.
 TEST_CASE("safeguards, leaving replica, gets no new work after the limit") {
-  auto runWith = [](bool avoided) {
-    Safeguards guards;
-    guards.LeavingTargetAvoided = avoided;
-    World world(1, guards);
-    world.runFor(milliseconds(1'500));
-    world.leaveReplica();
-    world.runFor(2 * LeavingLimit);
-    return checkHistory(world.finish());
-  };
-  CHECK(reports(runWith(false), Broken::WorkAtLeaving));
-  CHECK(runWith(true).empty());
+  constexpr milliseconds Before{1'500};
+  CHECK(reports(runLeaving(1, Before, &World::leaveReplica, false),
+                Broken::WorkAtLeaving));
+  CHECK(runLeaving(1, Before, &World::leaveReplica, true).empty());
 }
 
 // The primary leaves in a settled group: writes are held for a moment, a
 // replica leads, and the old primary is then a replica to be avoided.
 TEST_CASE("safeguards, leaving primary, gets no new work after the limit") {
-  auto runWith = [](bool avoided) {
-    Safeguards guards;
-    guards.LeavingTargetAvoided = avoided;
-    World world(1, guards);
-    world.runFor(milliseconds(8'000));
-    world.leave();
-    world.runFor(2 * LeavingLimit);
-    return checkHistory(world.finish());
-  };
-  CHECK(reports(runWith(false), Broken::WorkAtLeaving));
-  CHECK(runWith(true).empty());
+  constexpr milliseconds Before{8'000};
+  CHECK(reports(runLeaving(1, Before, &World::leave, false),
+                Broken::WorkAtLeaving));
+  CHECK(runLeaving(1, Before, &World::leave, true).empty());
 }
 
 // Known red (KNOWN-RED.txt); it has to fail until the fault is mended. The
@@ -89,11 +88,7 @@
 TEST_CASE("safeguards, leaving primary of a new group, gets no new work after "
           "the limit" *
           doctest::should_fail()) {
-  for (std::uint64_t seed : {37, 79}) {
-    World world(seed, Safeguards{});
-    world.runFor(milliseconds(1'500));
-    world.leave();
-    world.runFor(2 * LeavingLimit);
-    CHECK(checkHistory(world.finish()).empty());
-  }
+  constexpr milliseconds Before{1'500};
+  for (std::uint64_t seed : {37, 79})
+    CHECK(runLeaving(seed, Before, &World::leave, true).empty());
 }
