Serve sessions on the users' platform, thin

Cause: the daemon spoke HTTP/2 to callers and to stand-ins only; the platform has a line protocol, an object store with watches, and a promotion call. Change: src/proxy decides (sessions, pools, groups, succession, mirror of the store, peers), platform/ holds names, formats and calls.

--- a/include/peridotfall/clock.h
+++ b/include/peridotfall/clock.h
@@ -24,6 +24,14 @@
   TimePoint now() const override { return std::chrono::steady_clock::now(); }
 };
 
+/// The machine's monotonic clock that also counts while it is suspended.
+/// Ages that a promise rests on take it: a position read before a suspension
+/// of four seconds would look fresh by the other clock.
+class SuspendAwareClock final : public Clock {
+public:
+  TimePoint now() const override;
+};
+
 /// A clock that moves only when told to.
 class ManualClock final : public Clock {
 public:
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 // peridotfalld: the entry daemon.
 
 #include "daemon/daemon.h"
+#include "node.h"
 #include "telemetry/events.h"
 
 #include <asio/io_context.hpp>
@@ -39,6 +40,9 @@
               "none");
 DEFINE_uint32(probe_ms, 150, "milliseconds between probes of a target");
 DEFINE_uint32(shutdown_ms, 10000, "longest wait for requests in flight");
+DEFINE_bool(on_platform, false,
+            "run on the users' platform; the settings are then taken from the "
+            "file that the platform writes");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
 namespace {
@@ -108,6 +112,8 @@
         {"--log_level", "debug, info, warning or error", FLAGS_log_level});
   else
     peridotfall::telemetry::setLevel(*level);
+  if (FLAGS_on_platform && findings.empty())
+    return peridotfall::adapter::runNode();
   auto options = peridotfall::parseOptions(settings());
   if (!options)
     findings.insert(findings.end(), options.error().begin(),
--- /dev/null
+++ b/src/proxy/environment.cpp
@@ -0,0 +1,71 @@
+#include "proxy/environment.h"
+
+#include <algorithm>
+
+namespace peridotfall::proxy {
+
+namespace {
+
+Statement setStatement(const std::string &name, const std::string &value) {
+  Statement it;
+  it.Kind = StatementKind::Set;
+  it.Name = name;
+  it.Argument = value;
+  return it;
+}
+
+Statement prepareStatement(const Prepared &body) {
+  Statement it;
+  it.Kind = StatementKind::Prepare;
+  it.Name = sharedName(body);
+  it.Body = body;
+  return it;
+}
+
+/// A value can be changed and not taken back, other than by a reset.
+bool needsReset(const Values &have, const Values &want) {
+  return std::any_of(have.begin(), have.end(),
+                     [&](const auto &it) { return !want.contains(it.first); });
+}
+
+} // namespace
+
+std::string sharedName(const Prepared &it) {
+  return (it.Writes ? "w_" : "r_") + it.Shape;
+}
+
+std::vector<Statement> planSetup(ConnectionEnvironment &have,
+                                 const Values &want,
+                                 const std::vector<Prepared> &needed) {
+  std::vector<Statement> out;
+  if (needsReset(have.Set, want)) {
+    Statement reset;
+    reset.Kind = StatementKind::Reset;
+    out.push_back(std::move(reset));
+    have = {};
+  }
+  for (const auto &[name, value] : want) {
+    auto it = have.Set.find(name);
+    if (it != have.Set.end() && it->second == value)
+      continue;
+    out.push_back(setStatement(name, value));
+    have.Set[name] = value;
+  }
+  for (const auto &it : needed)
+    if (have.Known.insert(it).second)
+      out.push_back(prepareStatement(it));
+  return out;
+}
+
+std::size_t distance(const Values &have, const Values &want) {
+  std::size_t n = 0;
+  for (const auto &[name, value] : want) {
+    auto it = have.find(name);
+    n += it == have.end() || it->second != value;
+  }
+  for (const auto &it : have)
+    n += !want.contains(it.first);
+  return n;
+}
+
+} // namespace peridotfall::proxy
--- /dev/null
+++ b/src/proxy/groups.h
@@ -0,0 +1,128 @@
+/// \file
+/// The groups of targets as one daemon uses them: connections, who leads,
+/// where a read goes.
+
+#ifndef PERIDOTFALL_PROXY_GROUPS_H
+#define PERIDOTFALL_PROXY_GROUPS_H
+
+#include "peridotfall/placement.h"
+#include "proxy/group_view.h"
+#include "proxy/target_pool.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace peridotfall::proxy {
+
+namespace limits {
+
+/// Between two questions of a group who leads, while nobody is known to.
+inline constexpr milliseconds LeadCheckPause{100};
+/// A group that is in use is asked for its log's head when the last proof of
+/// it is older than this. Reason: a third of the shortest usual staleness
+/// bound of 1.5 s, so that one lost question costs no read its replica.
+inline constexpr milliseconds HeadRefresh{500};
+/// A group that nobody asked for so long is not in use.
+inline constexpr milliseconds GroupIdle{5'000};
+/// Longest run of a question; far above a round trip of 16 ms.
+inline constexpr milliseconds LeadCheckLimit{300};
+/// Share of a target's connections that the daemons open by plan; the rest
+/// is for those whose list of daemons is older.
+inline constexpr double PlannedShare = 0.95;
+/// After a planned hand-over began, writes are held until a new primary is
+/// known, for this long at most. A promotion takes 0.3 to 1 s.
+inline constexpr milliseconds HandoverHold{2'500};
+
+} // namespace limits
+
+/// Where this daemon stands.
+struct Place {
+  VmName Vm;
+  DomainName Domain;
+  RegionName Region;
+
+  auto operator<=>(const Place &) const = default;
+};
+
+struct Group {
+  explicit Group(std::uint64_t seed) : Reads(seed) {}
+
+  GroupSettings Settings;
+  GroupView View;
+  Placement Reads;
+  std::vector<TargetEntry> Targets;
+  std::optional<TimePoint> UsedAt;
+  TimePoint NextLeadCheck{};
+  TimePoint LastHeadAsk{};
+  std::optional<TimePoint> LeaderMissing; ///< Since when nobody leads.
+  std::optional<TimePoint> LeavingSince;  ///< The primary's draining was seen.
+};
+
+/// What a lease of a pool was used for is reported here, so that beliefs
+/// follow from answers. Not synchronised.
+class Groups final : public LeaseHost {
+public:
+  Groups(Place self, TargetPort &port, const Clock &clock);
+
+  /// Takes the platform's list, whole.
+  void takeTargets(const TargetList &targets);
+  void takeSettings(const std::map<GroupName, GroupSettings> &settings);
+  /// \param daemons that share the targets' connections.
+  void setDaemons(std::size_t daemons);
+
+  LeaseId begin(const LeaseRequest &request, Batch first,
+                OnBatch done) override;
+  void run(LeaseId lease, Batch next, OnBatch done) override;
+  void abandon(LeaseId lease) override;
+
+  TargetPool *pool(const TargetName &target);
+  Group *find(const GroupName &name);
+  std::map<GroupName, std::unique_ptr<Group>> &all() { return ByName; }
+  /// Marks a group as used, and asks for its log's head when none is fresh.
+  Group *use(const GroupName &name);
+  /// \return the primary that may take new work now; nothing: hold it.
+  std::optional<TargetName> writable(const Group &group) const;
+  /// \return whether a target can be asked at all.
+  bool isUsable(const TargetName &target);
+  std::vector<Candidate> candidates(const Group &group);
+  /// Learns from the answers of a batch who leads and how far the log is.
+  /// \param plain whether the batch's transaction is one that may write.
+  void learn(Group &group, const TargetName &target, const Batch &batch,
+             const BatchResult &result, bool plain, TimePoint sent);
+  /// Called whenever a group's leader becomes known.
+  std::function<void(const GroupName &)> OnLeader;
+  void tick();
+
+  /// Runs \p action on the pools that may hold the target's connections.
+  template <class Action>
+  void withPools(const TargetName &target, Action action) {
+    if (auto *it = pool(target))
+      action(*it);
+    for (auto &it : Retired)
+      if (it->target().Name == target)
+        action(*it);
+  }
+
+private:
+  void askLead(Group &group, const TargetName &target);
+  void share();
+  Distance distanceTo(const TargetEntry &target) const;
+  TargetPool *poolOf(LeaseId lease);
+
+  Place Self;
+  TargetPort &Port;
+  const Clock &Time;
+  std::size_t Daemons = 1;
+  std::uint64_t LastLease = 0;
+  std::uint64_t Seed = 1;
+  TargetList Targets;
+  std::map<TargetName, std::unique_ptr<TargetPool>> Pools;
+  /// Of targets that are gone, until their last lease has ended.
+  std::vector<std::unique_ptr<TargetPool>> Retired;
+  std::map<GroupName, std::unique_ptr<Group>> ByName;
+};
+
+} // namespace peridotfall::proxy
+
+#endif // PERIDOTFALL_PROXY_GROUPS_H
--- /dev/null
+++ b/src/proxy/sessions.h
@@ -0,0 +1,191 @@
+/// \file
+/// Sessions of callers: what each has set, prepared and written, and how each
+/// of its statements is run. Decisions only; bytes are moved by the ports.
+
+#ifndef PERIDOTFALL_PROXY_SESSIONS_H
+#define PERIDOTFALL_PROXY_SESSIONS_H
+
+#include "peridotfall/retry_budget.h"
+#include "proxy/groups.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace peridotfall::proxy {
+
+namespace limits {
+
+/// Share of a statement's limit that it may wait for a primary or one of its
+/// connections. Load: a change of primary. Harm: all that waits runs into its
+/// limit together with no time left to run. Reason: work of 3 to 30 ms needs
+/// little, and a third of 800 ms still leaves a queue of ten statements time.
+inline constexpr double PrimaryWaitShare = 0.65;
+/// Longest wait of a read for a connection to the target chosen for it;
+/// another target may have one. Reason: a few statements' time.
+inline constexpr milliseconds ReadWait{120};
+/// Share of a statement's limit after which a read that got no answer is
+/// tried at another target, and the least such time. Load: a target that is
+/// silent. Harm: all its reads run into their limit. Reason: the longest work
+/// is 110 ms for a limit of 1,200 ms, and 22 ms for one of 800 ms.
+inline constexpr double ReadPatienceShare = 0.4;
+inline constexpr milliseconds LeastReadPatience{150};
+/// Tries of one statement, the first included.
+inline constexpr unsigned MostTries = 5;
+/// Time that a try needs at the least to be worth it.
+inline constexpr milliseconds LeastTry{20};
+/// Longest wait of a read for a replica to catch up that is not worth a turn
+/// of the timer.
+inline constexpr milliseconds NoWait{3};
+/// Pause before a statement that a busy target refused is tried there again.
+inline constexpr milliseconds BusyPause{15};
+/// When a caller whose statement found no primary shall come back. A change
+/// of primary takes 0.6 to 1.6 s from the failure.
+inline constexpr milliseconds PrimaryRetryAfter{400};
+/// The same where connections or slots were taken: some statements' time.
+inline constexpr milliseconds BusyRetryAfter{150};
+/// Statements that a session may send before their answers. Harm: memory.
+inline constexpr std::size_t MostPipelined = 64;
+/// A stopping daemon closes idle sessions after this long, when no new ones
+/// come to it any more: its readiness is asked once a second, twice.
+inline constexpr milliseconds StopQuiet{1'500};
+/// Values and prepared names of one session. Harm: memory of a small VM.
+inline constexpr std::size_t MostSessionNames = 256;
+
+} // namespace limits
+
+/// Moves bytes to callers; never calls back from within.
+class CallerPort {
+public:
+  virtual ~CallerPort() = default;
+  virtual void greet(CallerId caller) = 0;
+  virtual void answer(CallerId caller, const Answer &answer) = 0;
+  /// An error that belongs to no statement; the session ends.
+  virtual void reject(CallerId caller, const StatementError &why) = 0;
+  virtual void close(CallerId caller) = 0;
+};
+
+struct SessionStats {
+  std::uint64_t Served = 0;
+  std::uint64_t Refused = 0; ///< Not run.
+  std::uint64_t InDoubt = 0; ///< Outcome unknown.
+  std::uint64_t Retried = 0;
+  std::uint64_t ReplicaReads = 0;
+  std::uint64_t PrimaryReads = 0;
+
+  auto operator<=>(const SessionStats &) const = default;
+};
+
+/// Not synchronised.
+class Sessions {
+public:
+  Sessions(Groups &groups, CallerPort &port, const Clock &clock);
+
+  void takeRoutes(const RoutingTable &table);
+  const RoutingTable &routes() const { return Table; }
+
+  void start(CallerId caller, const DatabaseName &database);
+  void statement(CallerId caller, Statement it);
+  void closed(CallerId caller);
+  void tick();
+  /// Runs what waits for the group's primary.
+  void resume(const GroupName &group);
+  /// Ends sessions as they come to rest; open transactions have until then.
+  void stop(TimePoint transactionsUntil);
+
+  std::size_t open() const { return All.size(); }
+  const SessionStats &stats() const { return Counts; }
+
+private:
+  struct Transaction {
+    bool ReadOnly = false;
+    bool Wrote = false;
+    Route Served;
+    LeaseId Lease;
+    TargetName Target;
+    /// Its connection was lost; the next statement says so.
+    bool Gone = false;
+  };
+  /// A caller's statement under way.
+  struct Unit {
+    Statement It;
+    Route Served;
+    std::uint64_t Serial = 0;
+    TimePoint Began;
+    TimePoint Until;
+    unsigned Tries = 0;
+    bool PrimaryOnly = false;
+    bool Parked = false;            ///< Waits for a primary.
+    std::optional<TimePoint> RunAt; ///< Waits for a replica or a slot.
+    TargetName Avoid;
+    TargetName Target;
+    LeaseId Lease;
+    Batch Sent;
+    TimePoint SentAt;
+  };
+  struct Session {
+    CallerId Id;
+    DatabaseName Database;
+    bool Greeted = false;
+    Values Set;
+    std::map<std::string, Prepared> Names;
+    TransactionState State = TransactionState::Idle;
+    Transaction Open; ///< Unless State is Idle.
+    Position Own;     ///< Of its last commit.
+    std::deque<Statement> Inbox;
+    std::optional<Unit> Current;
+    TimePoint Active;
+  };
+
+  Session *find(CallerId caller);
+  void greet(Session &session);
+  void advance(Session &session);
+  void handle(Session &session, Statement it);
+  void handleLocal(Session &session, const Statement &it);
+  bool resolve(Session &session, Statement &it);
+  void begin(Session &session, bool readOnly);
+  void rollBack(Session &session);
+  void deallocate(Session &session, const std::string &name);
+  void set(Session &session, const Statement &it);
+  void prepare(Session &session, const Statement &it);
+
+  void beginUnit(Session &session, Statement it);
+  void place(Session &session);
+  void placeRead(Session &session, Group &group);
+  void placeAtPrimary(Session &session, Group &group);
+  void park(Session &session);
+  Batch composeFirst(const Session &session, bool atPrimary,
+                     std::optional<Position> notBefore) const;
+  void sendFirst(Session &session, const TargetName &target, bool atPrimary,
+                 std::optional<Position> notBefore);
+  void onFirst(Session &session, const BatchResult &result);
+  void onFirstWhole(Session &session, const BatchResult &result);
+  void runHeld(Session &session);
+  void onHeld(Session &session, const BatchResult &result);
+  void lostHeld(Session &session, const BatchResult &result);
+  void retry(Session &session, ErrorKind why);
+  void report(Session &session, Group &group, const BatchResult &result);
+
+  void deliver(Session &session, Answer answer);
+  void answerDone(Session &session);
+  void answerError(Session &session, ErrorKind kind, std::string detail);
+  void refuse(Session &session, milliseconds retryAfter, const char *why);
+  void giveUpLost(Session &session, const char *why);
+  void dropLease(LeaseId lease);
+  template <class Then> OnBatch guarded(const Session &session, Then then);
+  void tickSession(Session &session, TimePoint now);
+
+  Groups &Targets;
+  CallerPort &Port;
+  const Clock &Time;
+  RoutingTable Table;
+  std::map<CallerId, Session> All;
+  std::uint64_t LastSerial = 0;
+  SessionStats Counts;
+  std::optional<TimePoint> StoppingSince;
+  TimePoint TransactionsUntil{};
+};
+
+} // namespace peridotfall::proxy
+
+#endif // PERIDOTFALL_PROXY_SESSIONS_H
--- /dev/null
+++ b/src/proxy/succession.cpp
@@ -0,0 +1,354 @@
+#include "proxy/succession.h"
+
+#include "telemetry/events.h"
+
+#include <algorithm>
+
+namespace peridotfall::proxy {
+
+using telemetry::Event;
+using telemetry::field;
+
+Succession::Succession(Place self, std::uint64_t incarnation, Groups &groups,
+                       SuccessionPort &port, const Clock &clock)
+    : Self(std::move(self)), Incarnation(incarnation), Targets(groups),
+      Port(port), Time(clock), HolderSeen(clock.now()), LastTick(clock.now()) {}
+
+bool Succession::holds() const {
+  return Record && Record->Holder == Self.Vm &&
+         Record->Incarnation == Incarnation;
+}
+
+void Succession::takeRecord(const std::optional<DutyRecord> &record,
+                            std::uint64_t revision) {
+  bool held = holds();
+  bool otherHolder = !Record || !record || record->Holder != Record->Holder ||
+                     record->Incarnation != Record->Incarnation;
+  Known = true;
+  Record = record;
+  Revision = revision;
+  if (otherHolder)
+    HolderSeen = Time.now();
+  if (!held && holds()) {
+    NextNumber = record->First;
+    telemetry::log(Event::DutyTaken, {field("first_number", record->First),
+                                      field("revision", revision)});
+  }
+  if (held && !holds()) {
+    Changes.clear();
+    telemetry::log(Event::DutyLost,
+                   {field("holder", record ? record->Holder.Value : "none"),
+                    field("revision", revision)});
+  }
+}
+
+void Succession::takeMembers(const std::vector<Member> &live) { Live = live; }
+
+/// \return this daemon's place among those that may take the duty over.
+std::optional<std::size_t> Succession::rank() const {
+  auto ranked =
+      rankOwners(Live, TargetName("failover duty"), DomainName(), RegionName());
+  auto it = std::find_if(ranked.begin(), ranked.end(),
+                         [&](const Member &m) { return m.Vm == Self.Vm; });
+  if (it == ranked.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(it - ranked.begin());
+}
+
+void Succession::tickDuty(TimePoint now) {
+  if (!Known || Writing)
+    return;
+  if (holds()) {
+    if (Record->Last - NextNumber < limits::NumbersLeft && now >= NextClaim)
+      extend();
+    return;
+  }
+  bool alive =
+      Record && std::any_of(Live.begin(), Live.end(), [&](const Member &it) {
+        // An unknown incarnation is one that was not heard of yet.
+        bool same =
+            it.Incarnation == 0 || it.Incarnation == Record->Incarnation;
+        return it.Vm == Record->Holder && same && !it.Leaving;
+      });
+  if (alive) {
+    HolderSeen = now;
+    return;
+  }
+  auto place = rank();
+  if (!place || now < NextClaim)
+    return;
+  auto lease = Record ? Duration(limits::DutyLease) : Duration{};
+  if (now - HolderSeen >= lease + Duration(limits::DutyStagger) * *place)
+    claim(now);
+}
+
+void Succession::claim(TimePoint now) {
+  DutyRecord next;
+  next.Holder = Self.Vm;
+  next.Incarnation = Incarnation;
+  next.First = Record ? Record->Last + 1 : 1;
+  next.Last = next.First + limits::NumbersTaken;
+  Writing = true;
+  NextClaim = now + limits::DutyRetry;
+  Port.writeRecord(next, Record ? Revision : 0);
+}
+
+void Succession::extend() {
+  auto next = *Record;
+  next.Last += limits::NumbersTaken;
+  Writing = true;
+  NextClaim = Time.now() + limits::DutyRetry;
+  Port.writeRecord(next, Revision);
+}
+
+void Succession::takeWritten(CallOutcome outcome) {
+  Writing = false;
+  // However it ended, what is in force is read back: an answer that was lost
+  // may hide a claim that succeeded, or one that succeeds later.
+  static_cast<void>(outcome);
+  Known = false;
+  Port.readRecord();
+}
+
+void Succession::tick() {
+  auto now = Time.now();
+  bool paused = now - LastTick > limits::LongTick;
+  LastTick = now;
+  if (paused) {
+    // Frozen or suspended: nothing was heard because nothing was read.
+    HolderSeen = now;
+    for (auto &[name, group] : Targets.all())
+      if (group->LeaderMissing)
+        group->LeaderMissing = now;
+  }
+  tickDuty(now);
+  if (!holds())
+    return;
+  for (auto &[name, group] : Targets.all())
+    tickGroup(name, *group, now);
+}
+
+void Succession::tickGroup(const GroupName &name, Group &group, TimePoint now) {
+  if (group.Targets.empty())
+    return;
+  auto &change = Changes[name];
+  if (now < change.NotBefore)
+    return;
+  switch (change.At) {
+  case Step::Watching:
+    watch(name, group, change, now);
+    return;
+  case Step::Asking:
+    // Nobody answered in time: this daemon's own view decides.
+    if (now - change.Since >= limits::ChoiceLimit * 2)
+      takeEvidence(name, {});
+    return;
+  case Step::Choosing:
+    choose(name, group, change, now);
+    return;
+  case Step::Calling:
+    return;
+  case Step::Settling: {
+    bool leads = group.View.leader() == change.Chosen && !group.LeaderMissing;
+    if (leads || now - change.Since >= limits::PromotionSettle)
+      change = {};
+    return;
+  }
+  }
+}
+
+void Succession::watch(const GroupName &name, Group &group, Change &change,
+                       TimePoint now) {
+  if (group.LeavingSince) {
+    if (now - *group.LeavingSince >= limits::HandoverSettle) {
+      change.Planned = true;
+      beginChoice(name, group, change);
+    }
+    return;
+  }
+  if (!group.LeaderMissing || now - *group.LeaderMissing < limits::SuspectAfter)
+    return;
+  change.At = Step::Asking;
+  change.Since = now;
+  auto leader = group.View.leader();
+  telemetry::log(Event::PrimarySuspected,
+                 {field("group", name.Value),
+                  field("target", leader ? leader->Value : "none"),
+                  field("missing_ms", std::chrono::duration_cast<milliseconds>(
+                                          now - *group.LeaderMissing)
+                                          .count())});
+  Port.askPeers(name);
+}
+
+void Succession::takeEvidence(const GroupName &name,
+                              const PeerEvidence &evidence) {
+  auto *group = Targets.find(name);
+  auto it = Changes.find(name);
+  if (!group || it == Changes.end() || it->second.At != Step::Asking)
+    return;
+  auto &change = it->second;
+  if (!group->LeaderMissing) {
+    change = {};
+    return;
+  }
+  // Load: a primary that some daemons cannot reach. Harm of replacing it on
+  // one daemon's word: records lost and a gap for all, for a fault of one
+  // link. It is replaced when no majority of the daemons reaches it.
+  if (evidence.Reach * 2 > evidence.Answered + 1) {
+    telemetry::log(Event::PrimaryReachedByOthers,
+                   {field("group", name.Value), field("reach", evidence.Reach),
+                    field("answered", evidence.Answered)});
+    change = {};
+    change.NotBefore = Time.now() + limits::SuspectAfter;
+    return;
+  }
+  beginChoice(name, *group, change);
+}
+
+void Succession::beginChoice(const GroupName &name, Group &group,
+                             Change &change) {
+  change.At = Step::Choosing;
+  change.Since = Time.now();
+  change.Heard.clear();
+  change.Asked.clear();
+  askStatus(name, group, change);
+}
+
+void Succession::askStatus(const GroupName &name, Group &group,
+                           Change &change) {
+  for (const auto &it : group.Targets) {
+    bool candidate = it.Name != group.View.leader() && !it.Leaving;
+    if (!candidate || !Targets.pool(it.Name) ||
+        !change.Asked.insert(it.Name).second)
+      continue;
+    Batch batch;
+    batch.Statements.resize(1);
+    batch.Statements[0].Kind = StatementKind::Status;
+    batch.EndsLease = true;
+    batch.Patience = limits::ChoiceLimit;
+    LeaseRequest request{it.Name, 0, limits::ChoiceLimit};
+    auto target = it.Name;
+    auto heard = [this, name, target](const BatchResult &result) {
+      auto found = Changes.find(name);
+      if (found == Changes.end() || found->second.At != Step::Choosing)
+        return;
+      found->second.Asked.erase(target);
+      bool whole = result.End == BatchEnd::Whole && result.Answers[0].Status;
+      if (whole)
+        found->second.Heard[target] = *result.Answers[0].Status;
+    };
+    Targets.begin(request, std::move(batch), heard);
+  }
+}
+
+/// Takes the replica that has received most; what it lacks is lost. All that
+/// are asked get a moment to answer, and a planned change waits for a replica
+/// that has everything.
+void Succession::choose(const GroupName &name, Group &group, Change &change,
+                        TimePoint now) {
+  auto leader = group.View.leader();
+  bool back = !change.Planned && !group.LeaderMissing;
+  bool left = change.Planned && !group.LeavingSince;
+  if (back || left) {
+    change = {};
+    return;
+  }
+  auto waited = now - change.Since;
+  bool all = change.Asked.empty();
+  if (!all && waited < limits::ChoiceLimit)
+    return;
+  const TargetStatus *best = nullptr;
+  TargetName chosen;
+  for (const auto &[target, status] : change.Heard) {
+    if (change.Failed.contains(target) && change.Heard.size() > 1)
+      continue;
+    if (status.IsPrimary || (best && status.Received <= best->Received))
+      continue;
+    best = &status;
+    chosen = target;
+  }
+  if (!best) {
+    change.Failed.clear();
+    change.Heard.clear();
+    askStatus(name, group, change);
+    change.NotBefore = now + limits::PromotionPause;
+    return;
+  }
+  std::uint64_t lacks = 0;
+  if (auto last = group.View.lastHead();
+      last && last->InTerm == best->Received.InTerm &&
+      last->Index > best->Received.Index)
+    lacks = last->Index - best->Received.Index;
+  if (change.Planned && lacks > 0 && waited < limits::CatchUpLimit) {
+    change.Heard.clear();
+    askStatus(name, group, change);
+    change.NotBefore = now + milliseconds(50);
+    return;
+  }
+  if (!holds() || NextNumber > Record->Last) {
+    telemetry::log(Event::TermsExhausted, {field("group", name.Value)});
+    change.NotBefore = now + limits::PromotionPause;
+    return;
+  }
+  change.Chosen = chosen;
+  change.Number = NextNumber++;
+  change.Calls = 0;
+  telemetry::log(Event::PromotionDecided,
+                 {field("group", name.Value), field("target", chosen.Value),
+                  field("old", leader ? leader->Value : "none"),
+                  field("planned", change.Planned),
+                  field("number", change.Number), field("lacks", lacks),
+                  field("received", fmt::format("{}.{}", best->Received.InTerm,
+                                                best->Received.Index)),
+                  field("heard", change.Heard.size())});
+  call(name, change);
+}
+
+void Succession::call(const GroupName &name, Change &change) {
+  change.At = Step::Calling;
+  change.Since = Time.now();
+  ++change.Calls;
+  Port.promote(name, change.Chosen, change.Number);
+}
+
+void Succession::takePromoted(const GroupName &name, CallOutcome outcome) {
+  auto it = Changes.find(name);
+  if (it == Changes.end() || it->second.At != Step::Calling)
+    return;
+  auto &change = it->second;
+  auto now = Time.now();
+  telemetry::log(
+      Event::PromotionAnswered,
+      {field("group", name.Value), field("target", change.Chosen.Value),
+       field("number", change.Number),
+       field("outcome", outcome == CallOutcome::Done      ? "accepted"
+                        : outcome == CallOutcome::Refused ? "refused"
+                                                          : "no answer"),
+       field("took_ms",
+             std::chrono::duration_cast<milliseconds>(now - change.Since)
+                 .count())});
+  constexpr unsigned MostCalls = 2;
+  if (outcome == CallOutcome::Done) {
+    change.At = Step::Settling;
+    change.Since = now;
+    change.NotBefore = {};
+    return;
+  }
+  if (outcome == CallOutcome::Unknown && change.Calls < MostCalls) {
+    // The same number for the same target: whichever call is carried out,
+    // the outcome is the same.
+    call(name, change);
+    return;
+  }
+  // The number is not used again. The record tells whether another holds the
+  // duty by now.
+  auto failed = change.Chosen;
+  auto planned = change.Planned;
+  change = {};
+  change.Failed.insert(failed);
+  change.Planned = planned;
+  change.NotBefore = now + limits::PromotionPause;
+  Port.readRecord();
+}
+
+} // namespace peridotfall::proxy
--- /dev/null
+++ b/src/proxy/target_pool.cpp
@@ -0,0 +1,374 @@
+#include "proxy/target_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotfall::proxy {
+
+namespace {
+
+/// \return whether a success of the statement carries the target's signature.
+bool isSigned(StatementKind it) {
+  return it == StatementKind::Read || it == StatementKind::Write ||
+         it == StatementKind::Execute || it == StatementKind::Commit;
+}
+
+/// An answer that belongs to another statement of the batch: one was lost on
+/// the way, and the answers after it moved up by one place.
+bool isMisplaced(const Statement &statement, const Answer &answer) {
+  if (!answer.ok())
+    return false;
+  bool unsignedAnswer = answer.Signature.empty() || answer.Signature == "-";
+  return isSigned(statement.Kind) == unsignedAnswer;
+}
+
+Statement rollbackStatement() {
+  Statement it;
+  it.Kind = StatementKind::Rollback;
+  return it;
+}
+
+} // namespace
+
+TargetPool::TargetPool(TargetEntry target, TargetPort &port, const Clock &clock,
+                       std::uint64_t &lastLease)
+    : Target(std::move(target)), Port(port), Time(clock), LastLease(lastLease) {
+}
+
+LeaseId TargetPool::begin(const LeaseRequest &request, Batch first,
+                          OnBatch done) {
+  LeaseId id{++LastLease};
+  auto now = Time.now();
+  auto until = now + (Retired ? Duration{} : request.Wait);
+  Waiter waiter{id, request.Priority, std::move(first), std::move(done), until};
+  auto place = std::find_if(Waiting.begin(), Waiting.end(), [&](const auto &w) {
+    return w.Priority > request.Priority;
+  });
+  Waiting.insert(place, std::move(waiter));
+  if (!Retired)
+    assign();
+  return id;
+}
+
+void TargetPool::run(LeaseId lease, Batch next, OnBatch done) {
+  auto it = findLease(lease);
+  start(it, lease, std::move(next), std::move(done));
+}
+
+bool TargetPool::owns(LeaseId lease) const {
+  return Leases.contains(lease) ||
+         std::any_of(Waiting.begin(), Waiting.end(),
+                     [&](const Waiter &it) { return it.Lease == lease; });
+}
+
+TargetPool::ConnectionIt TargetPool::findLease(LeaseId lease) {
+  return Connections.find(Leases.at(lease));
+}
+
+void TargetPool::abandon(LeaseId lease) {
+  auto waiter = std::find_if(
+      Waiting.begin(), Waiting.end(),
+      [&](const Waiter &candidate) { return candidate.Lease == lease; });
+  if (waiter != Waiting.end()) {
+    Waiting.erase(waiter);
+    return;
+  }
+  if (!Leases.contains(lease))
+    return;
+  auto it = findLease(lease);
+  it->second.Abandoned = true;
+  if (it->second.Current) {
+    // The answer is awaited, so that the connection can serve others.
+    it->second.Current->Done = nullptr;
+    return;
+  }
+  rollBack(it);
+}
+
+/// Load: more work than connections. The waiting one of the highest priority
+/// that came first takes the idle connection that needs least to serve it.
+void TargetPool::assign() {
+  while (!Waiting.empty()) {
+    auto it = bestIdle(Waiting.front().First.Session);
+    if (it == Connections.end())
+      break;
+    auto waiter = std::move(Waiting.front());
+    Waiting.pop_front();
+    start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done));
+  }
+  openMore();
+}
+
+TargetPool::ConnectionIt TargetPool::bestIdle(const Values &session) {
+  auto best = Connections.end();
+  std::size_t least = 0;
+  for (auto it = Connections.begin(); it != Connections.end(); ++it) {
+    if (it->second.State != Phase::Idle)
+      continue;
+    auto n = distance(it->second.Environment.Set, session);
+    if (best == Connections.end() || n < least) {
+      best = it;
+      least = n;
+    }
+    if (n == 0)
+      break;
+  }
+  return best;
+}
+
+void TargetPool::openMore() {
+  auto now = Time.now();
+  if (Retired || now < OpenAfter)
+    return;
+  std::size_t opening = 0;
+  for (const auto &it : Connections)
+    opening += it.second.State == Phase::Opening;
+  while (opening < Waiting.size() && Connections.size() < Capacity) {
+    auto id = Port.open(Target);
+    Connections[id].Since = now;
+    ++opening;
+  }
+}
+
+void TargetPool::start(ConnectionIt it, LeaseId lease, Batch work,
+                       OnBatch done) {
+  auto &connection = it->second;
+  auto out = planSetup(connection.Environment, work.Session, work.Needs);
+  Running running;
+  running.Setup = out.size();
+  running.Done = std::move(done);
+  running.Until = Time.now() + work.Patience;
+  out.insert(out.end(), work.Statements.begin(), work.Statements.end());
+  running.Work = std::move(work);
+  connection.Current = std::move(running);
+  connection.State = Phase::Running;
+  connection.Lease = lease;
+  Leases[lease] = it->first;
+  Port.send(it->first, out);
+}
+
+void TargetPool::opened(ConnectionId connection) {
+  auto it = Connections.find(connection);
+  if (it == Connections.end())
+    return;
+  it->second.State = Phase::Idle;
+  it->second.Since = Time.now();
+  FailingSince.reset();
+  AnsweredAt = Time.now();
+  assign();
+}
+
+void TargetPool::failed() {
+  if (!FailingSince)
+    FailingSince = Time.now();
+}
+
+void TargetPool::openFailed(ConnectionId connection,
+                            const std::optional<StatementError> &why) {
+  Connections.erase(connection);
+  auto now = Time.now();
+  if (why && why->Kind == ErrorKind::ConnectionLimit) {
+    OpenAfter = now + limits::FullPause;
+    return;
+  }
+  OpenAfter = now + limits::RefusedPause;
+  failed();
+  bool anyOpen =
+      std::any_of(Connections.begin(), Connections.end(), [](const auto &it) {
+        return it.second.State != Phase::Opening;
+      });
+  // Nothing here can serve what waits; another target may.
+  if (!anyOpen)
+    refuseWaiting(ErrorKind::Busy, "target unreachable");
+}
+
+void TargetPool::answered(ConnectionId connection, Answer answer) {
+  auto it = Connections.find(connection);
+  if (it == Connections.end())
+    return;
+  AnsweredAt = Time.now();
+  FailingSince.reset();
+  if (!it->second.Current) {
+    lose(it, "answer to no statement");
+    return;
+  }
+  auto &running = *it->second.Current;
+  auto n = running.Came++;
+  if (n < running.Setup) {
+    // Without its values or prepared statements the connection would run the
+    // rest of the batch in another session's state.
+    if (!answer.ok())
+      lose(it, "set-up of the connection failed");
+    return;
+  }
+  const auto &statement = running.Work.Statements[n - running.Setup];
+  if (isMisplaced(statement, answer)) {
+    lose(it, "answer out of order");
+    return;
+  }
+  // Prepared names that the target has lost are prepared again.
+  if (answer.Error && answer.Error->Kind == ErrorKind::NoStatement)
+    it->second.Environment.Known.clear();
+  running.Result.Answers.push_back(std::move(answer));
+  if (running.Result.Answers.size() == running.Work.Statements.size())
+    finish(it);
+}
+
+void TargetPool::finish(ConnectionIt it) {
+  auto &connection = it->second;
+  auto running = std::move(*connection.Current);
+  connection.Current.reset();
+  running.Result.End = BatchEnd::Whole;
+  bool idle = running.Result.Answers.back().State == TransactionState::Idle;
+  running.Result.Kept = !running.Work.EndsLease;
+  bool ends = running.Work.EndsLease || connection.Abandoned;
+  connection.State = Phase::Held;
+  connection.Since = Time.now();
+  bool wasRollback =
+      running.Work.Statements.back().Kind == StatementKind::Rollback;
+  if (ends && !idle && wasRollback)
+    lose(it, "rollback left a transaction open");
+  else if (ends && !idle)
+    rollBack(it);
+  else if (ends) {
+    Leases.erase(connection.Lease);
+    connection.Lease = {};
+    connection.Abandoned = false;
+    connection.State = Phase::Idle;
+  }
+  if (ends && idle)
+    assign();
+  if (running.Done)
+    running.Done(std::move(running.Result));
+}
+
+void TargetPool::rollBack(ConnectionIt it) {
+  auto lease = it->second.Lease;
+  it->second.Abandoned = true;
+  Batch work;
+  work.Session = it->second.Environment.Set;
+  work.Statements = {rollbackStatement()};
+  work.EndsLease = true;
+  work.Patience = limits::RollbackLimit;
+  start(it, lease, std::move(work), nullptr);
+}
+
+void TargetPool::lose(ConnectionIt it, const char *why) {
+  auto id = it->first;
+  auto connection = std::move(it->second);
+  Connections.erase(it);
+  if (connection.Lease.valid())
+    Leases.erase(connection.Lease);
+  Port.close(id);
+  if (!connection.Current || !connection.Current->Done)
+    return;
+  auto &running = *connection.Current;
+  running.Result.End = BatchEnd::Lost;
+  running.Result.Why = {ErrorKind::InDoubt, why};
+  running.Done(std::move(running.Result));
+}
+
+void TargetPool::closed(ConnectionId connection) {
+  auto it = Connections.find(connection);
+  if (it == Connections.end())
+    return;
+  bool wasBusy = it->second.State != Phase::Idle;
+  lose(it, "connection to the target lost");
+  if (wasBusy)
+    failed();
+}
+
+void TargetPool::closeIdle() {
+  for (auto it = Connections.begin(); it != Connections.end();) {
+    if (it->second.State != Phase::Idle) {
+      ++it;
+      continue;
+    }
+    Port.close(it->first);
+    it = Connections.erase(it);
+  }
+}
+
+void TargetPool::refuseWaiting(ErrorKind kind, const char *why) {
+  auto waiting = std::exchange(Waiting, {});
+  for (auto &it : waiting) {
+    BatchResult result;
+    result.Why = {kind, why};
+    it.Done(std::move(result));
+  }
+}
+
+void TargetPool::tick() {
+  auto now = Time.now();
+  std::vector<ConnectionId> late;
+  std::vector<ConnectionId> silent;
+  for (const auto &[id, it] : Connections) {
+    bool greeting = it.State == Phase::Opening;
+    if (greeting && now - it.Since >= limits::GreetingLimit)
+      late.push_back(id);
+    if (it.Current && now >= it.Current->Until)
+      silent.push_back(id);
+  }
+  for (auto id : late) {
+    Port.close(id);
+    openFailed(id, std::nullopt);
+  }
+  // A silent connection casts doubt on all others of the same path: those
+  // that are idle would each cost a statement its patience to find out.
+  for (auto id : silent) {
+    auto it = Connections.find(id);
+    if (it != Connections.end()) {
+      failed();
+      lose(it, "target silent");
+    }
+  }
+  if (!silent.empty())
+    closeIdle();
+  for (auto it = Connections.begin(); it != Connections.end();) {
+    bool old = it->second.State == Phase::Idle &&
+               (Retired || now - it->second.Since >= limits::IdleConnection);
+    if (old)
+      Port.close(it->first);
+    it = old ? Connections.erase(it) : std::next(it);
+  }
+  std::vector<Waiter> over;
+  for (auto it = Waiting.begin(); it != Waiting.end();) {
+    if (now < it->Until) {
+      ++it;
+      continue;
+    }
+    over.push_back(std::move(*it));
+    it = Waiting.erase(it);
+  }
+  for (auto &it : over) {
+    BatchResult result;
+    result.Why = {ErrorKind::Busy, "no connection free in time"};
+    it.Done(std::move(result));
+  }
+  openMore();
+}
+
+void TargetPool::retire() {
+  Retired = true;
+  refuseWaiting(ErrorKind::Busy, "target leaves");
+  closeIdle();
+}
+
+void TargetPool::breakAll() {
+  retire();
+  while (!Connections.empty())
+    lose(Connections.begin(), "target restarted");
+}
+
+PoolStats TargetPool::stats() const {
+  PoolStats out;
+  out.Waiting = Waiting.size();
+  for (const auto &it : Connections) {
+    ++out.Open;
+    out.Opening += it.second.State == Phase::Opening;
+    out.Idle += it.second.State == Phase::Idle;
+  }
+  return out;
+}
+
+} // namespace peridotfall::proxy
--- /dev/null
+++ b/src/proxy/target_pool.h
@@ -0,0 +1,152 @@
+/// \file
+/// The connections of this daemon to one target, and what waits for them.
+/// Decisions only; bytes are moved by the port.
+
+#ifndef PERIDOTFALL_PROXY_TARGET_POOL_H
+#define PERIDOTFALL_PROXY_TARGET_POOL_H
+
+#include "proxy/directory.h"
+#include "proxy/lease.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace peridotfall::proxy {
+
+namespace limits {
+
+using std::chrono::milliseconds;
+
+/// Longest wait for a target's greeting. A greeting takes 12 to 27 ms of a
+/// slot; at a full queue of 24 statements of 18 ms on 3 slots it waits 150 ms.
+inline constexpr milliseconds GreetingLimit{500};
+/// Pause after a target refused a connection because all of its were taken.
+/// Reason: those that hold them need about a statement's time to give one up.
+inline constexpr milliseconds FullPause{100};
+/// Pause after a connection could not be made. A target that crashed is back
+/// in seconds; ten tries a second notice it soon and cost little.
+inline constexpr milliseconds RefusedPause{100};
+/// An idle connection is closed after this long, so that another daemon can
+/// have its place; longer than the pauses of one session.
+inline constexpr milliseconds IdleConnection{15'000};
+/// Longest wait for the proxy's own rollback.
+inline constexpr milliseconds RollbackLimit{500};
+
+} // namespace limits
+
+/// Moves bytes to and from targets. Events come back through the pool's
+/// opened, answered and closed; never from within these calls.
+class TargetPort {
+public:
+  virtual ~TargetPort() = default;
+  virtual ConnectionId open(const TargetEntry &target) = 0;
+  virtual void send(ConnectionId connection,
+                    const std::vector<Statement> &statements) = 0;
+  /// Nothing more is reported of it.
+  virtual void close(ConnectionId connection) = 0;
+};
+
+struct PoolStats {
+  std::size_t Open = 0;
+  std::size_t Opening = 0;
+  std::size_t Idle = 0;
+  std::size_t Waiting = 0;
+
+  auto operator<=>(const PoolStats &) const = default;
+};
+
+/// Not synchronised.
+class TargetPool {
+public:
+  /// \param lastLease counts the leases of all pools of the daemon.
+  TargetPool(TargetEntry target, TargetPort &port, const Clock &clock,
+             std::uint64_t &lastLease);
+
+  LeaseId begin(const LeaseRequest &request, Batch first, OnBatch done);
+  void run(LeaseId lease, Batch next, OnBatch done);
+  void abandon(LeaseId lease);
+  bool owns(LeaseId lease) const;
+
+  void opened(ConnectionId connection);
+  /// \param why the target's word; nothing: it could not be reached.
+  void openFailed(ConnectionId connection,
+                  const std::optional<StatementError> &why);
+  void answered(ConnectionId connection, Answer answer);
+  void closed(ConnectionId connection);
+  /// Lets go of what waited or ran too long.
+  void tick();
+
+  void setCapacity(std::size_t connections) { Capacity = connections; }
+  void update(const TargetEntry &target) { Target = target; }
+  /// Refuses what waits and takes nothing new; leases that are open go on.
+  void retire();
+  /// Breaks everything: the process at the address is another one.
+  void breakAll();
+
+  const TargetEntry &target() const { return Target; }
+  PoolStats stats() const;
+  bool isUnused() const { return Connections.empty() && Waiting.empty(); }
+  /// \return whether the last try to reach it failed, and since when.
+  std::optional<TimePoint> unreachableSince() const { return FailingSince; }
+  /// \return when it last answered anything.
+  std::optional<TimePoint> lastAnswer() const { return AnsweredAt; }
+
+private:
+  enum class Phase : std::uint8_t { Opening, Idle, Running, Held };
+
+  struct Running {
+    Batch Work;
+    std::size_t Setup = 0; ///< Statements before it that are the proxy's.
+    std::size_t Came = 0;  ///< Answers, those of the set-up included.
+    BatchResult Result;
+    OnBatch Done;
+    TimePoint Until;
+  };
+  struct Connection {
+    Phase State = Phase::Opening;
+    ConnectionEnvironment Environment;
+    LeaseId Lease;
+    std::optional<Running> Current;
+    bool Abandoned = false;
+    TimePoint Since;
+  };
+  struct Waiter {
+    LeaseId Lease;
+    unsigned Priority = 0;
+    Batch First;
+    OnBatch Done;
+    TimePoint Until;
+  };
+  using ConnectionIt = std::map<ConnectionId, Connection>::iterator;
+
+  ConnectionIt findLease(LeaseId lease);
+  void assign();
+  void start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done);
+  ConnectionIt bestIdle(const Values &session);
+  void openMore();
+  void finish(ConnectionIt it);
+  void rollBack(ConnectionIt it);
+  /// Ends the batch as lost and forgets the connection.
+  void lose(ConnectionIt it, const char *why);
+  void closeIdle();
+  void refuseWaiting(ErrorKind kind, const char *why);
+  void failed();
+
+  TargetEntry Target;
+  TargetPort &Port;
+  const Clock &Time;
+  std::uint64_t &LastLease;
+  std::size_t Capacity = 1;
+  bool Retired = false;
+  std::map<ConnectionId, Connection> Connections;
+  std::map<LeaseId, ConnectionId> Leases;
+  std::deque<Waiter> Waiting;
+  TimePoint OpenAfter{};
+  std::optional<TimePoint> FailingSince;
+  std::optional<TimePoint> AnsweredAt;
+};
+
+} // namespace peridotfall::proxy
+
+#endif // PERIDOTFALL_PROXY_TARGET_POOL_H
