--- /dev/null
+++ b/src/messages/lease.cpp
@@ -0,0 +1,240 @@
+#include "messages/lease.h"
+
+#include "messages/lease.pb.h"
+
+#include <algorithm>
+
+namespace peridotfall::messages {
+
+namespace {
+
+using std::chrono::microseconds;
+
+Error malformed() {
+  return {ErrorCode::Invalid, "inner message: not of this protocol"};
+}
+
+std::uint64_t toMicros(Duration it) {
+  auto n = std::chrono::duration_cast<microseconds>(it).count();
+  return n < 0 ? 0 : static_cast<std::uint64_t>(n);
+}
+
+Duration fromMicros(std::uint64_t n) {
+  // Past this a sum with the clock could overflow; no wait is that long.
+  constexpr std::uint64_t Longest = 86'400ULL * 1'000'000;
+  return microseconds(std::min(n, Longest));
+}
+
+/// \return whether the number names a value of the enumeration.
+template <class E> bool takeEnum(std::uint32_t n, E last, E &out) {
+  out = static_cast<E>(n);
+  return n <= static_cast<std::uint32_t>(last);
+}
+
+void put(lease::LogPosition *out, const Position &it) {
+  out->set_term(it.InTerm);
+  out->set_index(it.Index);
+}
+
+Position take(const lease::LogPosition &it) { return {it.term(), it.index()}; }
+
+void put(lease::PreparedBody *out, const proxy::Prepared &it) {
+  out->set_writes(it.Writes);
+  out->set_shape(it.Shape);
+}
+
+proxy::Prepared take(const lease::PreparedBody &it) {
+  return {it.writes(), it.shape()};
+}
+
+void put(lease::Statement *out, const proxy::Statement &it) {
+  out->set_kind(static_cast<std::uint32_t>(it.Kind));
+  out->set_id(it.Id);
+  out->set_text(it.Text);
+  out->set_name(it.Name);
+  out->set_argument(it.Argument);
+  put(out->mutable_body(), it.Body);
+  if (it.NotBefore)
+    put(out->mutable_not_before(), *it.NotBefore);
+}
+
+bool take(const lease::Statement &in, proxy::Statement &out) {
+  out.Id = in.id();
+  out.Text = in.text();
+  out.Name = in.name();
+  out.Argument = in.argument();
+  out.Body = take(in.body());
+  if (in.has_not_before())
+    out.NotBefore = take(in.not_before());
+  return takeEnum(in.kind(), proxy::StatementKind::Unknown, out.Kind);
+}
+
+void put(lease::Batch *out, const proxy::Batch &it) {
+  for (const auto &[name, value] : it.Session)
+    (*out->mutable_session())[name] = value;
+  for (const auto &body : it.Needs)
+    put(out->add_needs(), body);
+  for (const auto &statement : it.Statements)
+    put(out->add_statements(), statement);
+  out->set_ends_lease(it.EndsLease);
+  out->set_patience_us(toMicros(it.Patience));
+}
+
+bool take(const lease::Batch &in, proxy::Batch &out) {
+  for (const auto &[name, value] : in.session())
+    out.Session[name] = value;
+  for (const auto &body : in.needs())
+    out.Needs.push_back(take(body));
+  for (const auto &statement : in.statements())
+    if (!take(statement, out.Statements.emplace_back()))
+      return false;
+  out.EndsLease = in.ends_lease();
+  out.Patience = fromMicros(in.patience_us());
+  return !out.Statements.empty();
+}
+
+void put(lease::StatementError *out, const proxy::StatementError &it) {
+  out->set_kind(static_cast<std::uint32_t>(it.Kind));
+  out->set_detail(it.Detail);
+}
+
+bool take(const lease::StatementError &in, proxy::StatementError &out) {
+  out.Detail = in.detail();
+  return takeEnum(in.kind(), proxy::ErrorKind::Other, out.Kind);
+}
+
+void put(lease::Answer *out, const proxy::Answer &it) {
+  for (const auto &row : it.Rows)
+    out->add_rows(row);
+  out->set_signature(it.Signature);
+  if (it.Error)
+    put(out->mutable_error(), *it.Error);
+  out->set_state(static_cast<std::uint32_t>(it.State));
+  if (it.At)
+    put(out->mutable_at(), *it.At);
+  if (!it.Status)
+    return;
+  out->mutable_status()->set_primary(it.Status->IsPrimary);
+  out->mutable_status()->set_term(it.Status->CurrentTerm);
+  put(out->mutable_status()->mutable_received(), it.Status->Received);
+}
+
+bool take(const lease::Answer &in, proxy::Answer &out) {
+  out.Rows.assign(in.rows().begin(), in.rows().end());
+  out.Signature = in.signature();
+  if (in.has_error() && !take(in.error(), out.Error.emplace()))
+    return false;
+  if (in.has_at())
+    out.At = take(in.at());
+  if (in.has_status())
+    out.Status = {in.status().primary(), in.status().term(),
+                  take(in.status().received())};
+  return takeEnum(in.state(), proxy::TransactionState::Failed, out.State);
+}
+
+} // namespace
+
+std::string encode(const BeginLease &it) {
+  lease::BeginLease out;
+  out.set_target(it.Request.Target.Value);
+  out.set_priority(it.Request.Priority);
+  out.set_wait_us(toMicros(it.Request.Wait));
+  out.set_total_us(toMicros(it.Request.Total));
+  put(out.mutable_first(), it.First);
+  return out.SerializeAsString();
+}
+
+Result<BeginLease> decodeBeginLease(const std::string &bytes) {
+  lease::BeginLease in;
+  BeginLease out;
+  if (!in.ParseFromString(bytes) || !take(in.first(), out.First))
+    return malformed();
+  out.Request = {TargetName(in.target()), in.priority(),
+                 fromMicros(in.wait_us()), fromMicros(in.total_us())};
+  return out;
+}
+
+std::string encode(const RunLease &it) {
+  lease::RunLease out;
+  out.set_lease(it.Lease.Value);
+  put(out.mutable_next(), it.Next);
+  return out.SerializeAsString();
+}
+
+Result<RunLease> decodeRunLease(const std::string &bytes) {
+  lease::RunLease in;
+  RunLease out;
+  if (!in.ParseFromString(bytes) || !take(in.next(), out.Next))
+    return malformed();
+  out.Lease = {in.lease()};
+  return out;
+}
+
+std::string encode(const AbandonLease &it) {
+  lease::AbandonLease out;
+  out.set_lease(it.Lease.Value);
+  return out.SerializeAsString();
+}
+
+Result<AbandonLease> decodeAbandonLease(const std::string &bytes) {
+  lease::AbandonLease in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  return AbandonLease{{in.lease()}};
+}
+
+std::string encode(const LeaseAnswer &it) {
+  lease::BatchResult out;
+  out.set_end(static_cast<std::uint32_t>(it.Result.End));
+  for (const auto &answer : it.Result.Answers)
+    put(out.add_answers(), answer);
+  put(out.mutable_why(), it.Result.Why);
+  out.set_lease(it.Result.Kept ? it.Lease.Value : 0);
+  out.set_target_unreachable(it.Result.TargetUnreachable);
+  return out.SerializeAsString();
+}
+
+Result<LeaseAnswer> decodeLeaseAnswer(const std::string &bytes) {
+  lease::BatchResult in;
+  LeaseAnswer out;
+  bool fits = in.ParseFromString(bytes) &&
+              takeEnum(in.end(), proxy::BatchEnd::Lost, out.Result.End) &&
+              take(in.why(), out.Result.Why);
+  for (const auto &answer : in.answers())
+    fits = fits && take(answer, out.Result.Answers.emplace_back());
+  if (!fits)
+    return malformed();
+  out.Lease = {in.lease()};
+  out.Result.Kept = out.Lease.valid();
+  out.Result.TargetUnreachable = in.target_unreachable();
+  return out;
+}
+
+std::string encode(const LeadQuestion &it) {
+  lease::LeadQuestion out;
+  out.set_group(it.Group.Value);
+  return out.SerializeAsString();
+}
+
+Result<LeadQuestion> decodeLeadQuestion(const std::string &bytes) {
+  lease::LeadQuestion in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  return LeadQuestion{proxy::GroupName(in.group())};
+}
+
+std::string encode(const LeadView &it) {
+  lease::LeadView out;
+  out.set_known(it.Known);
+  out.set_reaches(it.Reaches);
+  return out.SerializeAsString();
+}
+
+Result<LeadView> decodeLeadView(const std::string &bytes) {
+  lease::LeadView in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  return LeadView{in.known(), in.reaches()};
+}
+
+} // namespace peridotfall::messages
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -39,8 +39,15 @@
 
 } // namespace
 
-Groups::Groups(Place self, TargetPort &port, const Clock &clock)
-    : Self(std::move(self)), Port(port), Time(clock) {}
+Groups::Groups(Place self, TargetPort &port, RelayPort &relay,
+               const Clock &clock)
+    : Self(std::move(self)), Port(port), Relay(relay), Time(clock) {
+  Member here;
+  here.Vm = Self.Vm;
+  here.Domain = Self.Domain;
+  here.Region = Self.Region;
+  Live = {here};
+}
 
 Group *Groups::find(const GroupName &name) {
   auto it = ByName.find(name);
@@ -115,20 +122,34 @@
   share();
 }
 
-void Groups::setDaemons(std::size_t daemons) {
-  Daemons = std::max<std::size_t>(daemons, 1);
+void Groups::setMembers(const std::vector<Member> &live) {
+  Live = live;
   share();
 }
 
+/// Load: many daemons before targets with few connections. The daemons that
+/// rank first for a target, those of its failure domain before others, hold
+/// its connections; all others reach it by them.
 void Groups::share() {
-  for (auto &[name, it] : Pools) {
-    auto *group = find(it->target().Group);
+  std::erase_if(Ways,
+                [&](const auto &it) { return !Pools.contains(it.first); });
+  for (auto &[name, pool] : Pools) {
+    const auto &target = pool->target();
+    auto *group = find(target.Group);
     if (!group)
       continue;
-    auto planned = static_cast<double>(group->Settings.MaxConnections) *
-                   limits::PlannedShare / static_cast<double>(Daemons);
-    it->setCapacity(
-        std::max<std::size_t>(static_cast<std::size_t>(std::ceil(planned)), 2));
+    auto planned = static_cast<std::size_t>(
+        static_cast<double>(group->Settings.MaxConnections) *
+        limits::PlannedShare);
+    auto ranked = rankOwners(Live, name, target.Domain, target.Region);
+    auto n = holderCount(planned, ranked.size());
+    std::vector<VmName> holders;
+    for (std::size_t i = 0; i < std::min(n, ranked.size()); ++i)
+      holders.push_back(ranked[i].Vm);
+    bool holds =
+        std::find(holders.begin(), holders.end(), Self.Vm) != holders.end();
+    pool->setCapacity(holds ? std::max<std::size_t>(planned / n, 1) : 0);
+    Ways[name].setHolders(holders);
   }
 }
 
@@ -143,22 +164,76 @@
 }
 
 LeaseId Groups::begin(const LeaseRequest &request, Batch first, OnBatch done) {
-  return Pools.at(request.Target)
-      ->begin(request, std::move(first), std::move(done));
+  auto ways = Ways.find(request.Target);
+  auto *here = pool(request.Target);
+  std::optional<VmName> by;
+  if (ways != Ways.end() && here)
+    by = ways->second.choose(Self.Vm, here->isFree());
+  return beginBy(by.value_or(Self.Vm), request, std::move(first),
+                 std::move(done));
+}
+
+LeaseId Groups::beginBy(const VmName &by, const LeaseRequest &request,
+                        Batch first, OnBatch done) {
+  auto target = request.Target;
+  if (auto it = Ways.find(target); it != Ways.end())
+    it->second.started(by);
+  auto counted = [this, by, target, done](BatchResult result) {
+    if (auto it = Ways.find(target); it != Ways.end())
+      it->second.ended(by, result.TargetUnreachable, Time.now());
+    if (done)
+      done(std::move(result));
+  };
+  if (by == Self.Vm)
+    return beginHere(request, std::move(first), counted);
+  LeaseId lease{++LastLease};
+  Relay.begin(by, lease, request, std::move(first), counted);
+  return lease;
+}
+
+LeaseId Groups::beginHere(const LeaseRequest &request, Batch first,
+                          OnBatch done) {
+  auto *it = pool(request.Target);
+  if (!it)
+    return {};
+  return it->begin(request, std::move(first), std::move(done));
 }
 
 void Groups::run(LeaseId lease, Batch next, OnBatch done) {
-  poolOf(lease)->run(lease, std::move(next), std::move(done));
+  if (Relay.owns(lease))
+    Relay.run(lease, std::move(next), std::move(done));
+  else if (auto *it = poolOf(lease))
+    it->run(lease, std::move(next), std::move(done));
 }
 
 void Groups::abandon(LeaseId lease) {
-  if (auto *it = poolOf(lease))
+  if (Relay.owns(lease))
+    Relay.abandon(lease);
+  else if (auto *it = poolOf(lease))
     it->abandon(lease);
 }
 
-bool Groups::isUsable(const TargetName &target) {
-  auto *it = pool(target);
-  return it && !it->target().Leaving && !it->unreachableSince();
+bool Groups::isHeldHere(LeaseId lease) {
+  auto *it = poolOf(lease);
+  return it && it->isHeld(lease);
+}
+
+std::optional<TimePoint>
+Groups::unreachableSince(const TargetName &target) const {
+  auto it = Ways.find(target);
+  if (it == Ways.end())
+    return std::nullopt;
+  return it->second.unreachableSince();
+}
+
+const TargetEntry *Groups::entry(const TargetName &target) const {
+  auto it = Targets.find(target);
+  return it == Targets.end() ? nullptr : &it->second;
+}
+
+bool Groups::isUsable(const TargetName &target) const {
+  const auto *it = entry(target);
+  return it && !it->Leaving && !unreachableSince(target);
 }
 
 std::optional<TargetName> Groups::writable(const Group &group) const {
@@ -226,11 +301,20 @@
     OnLeader(name);
 }
 
+void Groups::askLead(const TargetName &target) {
+  auto ways = Ways.find(target);
+  auto *here = pool(target);
+  if (ways == Ways.end() || !here)
+    return;
+  askLeadBy(ways->second.choose(Self.Vm, here->isFree()).value_or(Self.Vm),
+            target);
+}
+
 /// A plain transaction is refused by a target that does not lead, so beginning
 /// one asks who leads and how far the log is, without use of a slot.
-void Groups::askLead(Group &group, const TargetName &target) {
-  auto *it = pool(target);
-  if (!it || it->target().Leaving)
+void Groups::askLeadBy(const VmName &by, const TargetName &target) {
+  const auto *it = entry(target);
+  if (!it || it->Leaving)
     return;
   Batch batch;
   batch.Statements = {ownStatement(StatementKind::Begin),
@@ -238,13 +322,14 @@
   batch.EndsLease = true;
   batch.Patience = limits::LeadCheckLimit;
   auto sent = Time.now();
-  LeaseRequest request{target, 0, limits::LeadCheckLimit};
-  auto name = it->target().Group;
-  it->begin(request, batch, [this, name, target, batch, sent](BatchResult out) {
-    if (auto *found = find(name))
+  LeaseRequest request{target, 0, limits::LeadCheckLimit,
+                       2 * limits::LeadCheckLimit};
+  auto learned = [this, group = it->Group, target, batch,
+                  sent](const BatchResult &out) {
+    if (auto *found = find(group))
       learn(*found, target, batch, out, true, sent);
-  });
-  static_cast<void>(group);
+  };
+  beginBy(by, request, batch, learned);
 }
 
 Group *Groups::use(const GroupName &name) {
@@ -256,6 +341,42 @@
   return group;
 }
 
+/// A path that failed gets no work; questions find out when it is back.
+void Groups::probePaths() {
+  auto now = Time.now();
+  for (auto &[target, ways] : Ways)
+    for (const auto &by : ways.probesDue(now))
+      askLeadBy(by, target);
+}
+
+void Groups::tickGroup(Group &group, TimePoint now) {
+  auto leader = group.View.leader();
+  const auto *it = leader ? entry(*leader) : nullptr;
+  bool missing = !it || unreachableSince(*leader);
+  if (!missing)
+    group.LeaderMissing.reset();
+  else if (!group.LeaderMissing)
+    group.LeaderMissing = now;
+  bool leaving = it && it->Leaving;
+  if (!leaving)
+    group.LeavingSince.reset();
+  else if (!group.LeavingSince)
+    group.LeavingSince = now;
+  if (now < group.NextLeadCheck)
+    return;
+  auto proof = group.View.lastProof();
+  bool used = group.UsedAt && now - *group.UsedAt < limits::GroupIdle;
+  if (missing || leaving) {
+    group.NextLeadCheck = now + limits::LeadCheckPause;
+    for (const auto &target : group.Targets)
+      if (!unreachableSince(target.Name))
+        askLead(target.Name);
+  } else if (used && (!proof || now - *proof > limits::HeadRefresh)) {
+    group.NextLeadCheck = now + limits::HeadRefresh / 2;
+    askLead(*leader);
+  }
+}
+
 void Groups::tick() {
   auto now = Time.now();
   for (auto &[name, it] : Pools)
@@ -263,32 +384,9 @@
   for (auto &it : Retired)
     it->tick();
   std::erase_if(Retired, [](const auto &it) { return it->isUnused(); });
-  for (auto &[name, group] : ByName) {
-    auto leader = group->View.leader();
-    bool missing = !leader || !pool(*leader) ||
-                   pool(*leader)->unreachableSince().has_value();
-    if (!missing)
-      group->LeaderMissing.reset();
-    else if (!group->LeaderMissing)
-      group->LeaderMissing = now;
-    bool leaving = leader && pool(*leader) && pool(*leader)->target().Leaving;
-    if (!leaving)
-      group->LeavingSince.reset();
-    else if (!group->LeavingSince)
-      group->LeavingSince = now;
-    if (now < group->NextLeadCheck)
-      continue;
-    auto proof = group->View.lastProof();
-    bool used = group->UsedAt && now - *group->UsedAt < limits::GroupIdle;
-    if (missing || leaving) {
-      group->NextLeadCheck = now + limits::LeadCheckPause;
-      for (const auto &it : group->Targets)
-        askLead(*group, it.Name);
-    } else if (used && (!proof || now - *proof > limits::HeadRefresh)) {
-      group->NextLeadCheck = now + limits::HeadRefresh / 2;
-      askLead(*group, *leader);
-    }
-  }
+  probePaths();
+  for (auto &[name, group] : ByName)
+    tickGroup(*group, now);
 }
 
 } // namespace peridotfall::proxy
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -5,8 +5,10 @@
 #ifndef PERIDOTFALL_PROXY_GROUPS_H
 #define PERIDOTFALL_PROXY_GROUPS_H
 
+#include "peridotfall/membership.h"
 #include "peridotfall/placement.h"
 #include "proxy/group_view.h"
+#include "proxy/paths.h"
 #include "proxy/target_pool.h"
 
 #include <functional>
@@ -45,6 +47,19 @@
   auto operator<=>(const Place &) const = default;
 };
 
+/// Leases of connections that other daemons hold.
+class RelayPort {
+public:
+  virtual ~RelayPort() = default;
+  /// \param lease this daemon's id of it.
+  virtual void begin(const VmName &holder, LeaseId lease,
+                     const LeaseRequest &request, Batch first,
+                     OnBatch done) = 0;
+  virtual void run(LeaseId lease, Batch next, OnBatch done) = 0;
+  virtual void abandon(LeaseId lease) = 0;
+  virtual bool owns(LeaseId lease) const = 0;
+};
+
 struct Group {
   explicit Group(std::uint64_t seed) : Reads(seed) {}
 
@@ -63,18 +78,23 @@
 /// follow from answers. Not synchronised.
 class Groups final : public LeaseHost {
 public:
-  Groups(Place self, TargetPort &port, const Clock &clock);
+  Groups(Place self, TargetPort &port, RelayPort &relay, const Clock &clock);
 
   /// Takes the platform's list, whole.
   void takeTargets(const TargetList &targets);
   void takeSettings(const std::map<GroupName, GroupSettings> &settings);
-  /// \param daemons that share the targets' connections.
-  void setDaemons(std::size_t daemons);
+  /// \param live daemons, that share the targets' connections.
+  void setMembers(const std::vector<Member> &live);
 
   LeaseId begin(const LeaseRequest &request, Batch first,
                 OnBatch done) override;
   void run(LeaseId lease, Batch next, OnBatch done) override;
   void abandon(LeaseId lease) override;
+  /// The same for a connection that this daemon holds; for other daemons.
+  /// \return an invalid id where the target is not known.
+  LeaseId beginHere(const LeaseRequest &request, Batch first, OnBatch done);
+  /// \return whether a lease is held here with no batch under way.
+  bool isHeldHere(LeaseId lease);
 
   TargetPool *pool(const TargetName &target);
   Group *find(const GroupName &name);
@@ -84,7 +104,10 @@
   /// \return the primary that may take new work now; nothing: hold it.
   std::optional<TargetName> writable(const Group &group) const;
   /// \return whether a target can be asked at all.
-  bool isUsable(const TargetName &target);
+  bool isUsable(const TargetName &target) const;
+  /// \return since when no daemon could reach the target for this one.
+  std::optional<TimePoint> unreachableSince(const TargetName &target) const;
+  const TargetEntry *entry(const TargetName &target) const;
   std::vector<Candidate> candidates(const Group &group);
   /// Learns from the answers of a batch who leads and how far the log is.
   /// \param plain whether the batch's transaction is one that may write.
@@ -105,19 +128,26 @@
   }
 
 private:
-  void askLead(Group &group, const TargetName &target);
+  LeaseId beginBy(const VmName &by, const LeaseRequest &request, Batch first,
+                  OnBatch done);
+  void askLead(const TargetName &target);
+  void askLeadBy(const VmName &by, const TargetName &target);
+  void tickGroup(Group &group, TimePoint now);
+  void probePaths();
   void share();
   Distance distanceTo(const TargetEntry &target) const;
   TargetPool *poolOf(LeaseId lease);
 
   Place Self;
   TargetPort &Port;
+  RelayPort &Relay;
   const Clock &Time;
-  std::size_t Daemons = 1;
+  std::vector<Member> Live;
   std::uint64_t LastLease = 0;
   std::uint64_t Seed = 1;
   TargetList Targets;
   std::map<TargetName, std::unique_ptr<TargetPool>> Pools;
+  std::map<TargetName, Paths> Ways;
   /// Of targets that are gone, until their last lease has ended.
   std::vector<std::unique_ptr<TargetPool>> Retired;
   std::map<GroupName, std::unique_ptr<Group>> ByName;
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -32,6 +32,7 @@
   TargetName Target;
   unsigned Priority = 0; ///< 0 is served first.
   Duration Wait{};       ///< Longest for a connection.
+  Duration Total{};      ///< Longest for connection and answers.
 
   auto operator<=>(const LeaseRequest &) const = default;
 };
@@ -47,6 +48,9 @@
   std::vector<Answer> Answers; ///< In the order of the statements.
   StatementError Why;          ///< Unless whole.
   bool Kept = false;           ///< The lease goes on.
+  /// It was not the target's answer but its silence that ended it, or that of
+  /// the daemon which holds its connections.
+  bool TargetUnreachable = false;
 
   auto operator<=>(const BatchResult &) const = default;
 };
--- /dev/null
+++ b/src/proxy/paths.cpp
@@ -0,0 +1,82 @@
+#include "proxy/paths.h"
+
+#include <algorithm>
+
+namespace peridotfall::proxy {
+
+std::size_t holderCount(std::size_t connections, std::size_t daemons) {
+  auto n = std::max<std::size_t>(connections / limits::ConnectionsPerHolder, 1);
+  return std::min(n, std::max<std::size_t>(daemons, 1));
+}
+
+void Paths::setHolders(const std::vector<VmName> &holders) {
+  std::map<VmName, Path> next;
+  for (const auto &it : holders)
+    next[it] = States[it];
+  States = std::move(next);
+  Holders = holders;
+}
+
+std::optional<VmName> Paths::choose(const VmName &self, bool selfFree) const {
+  std::optional<VmName> best;
+  std::size_t least = 0;
+  std::optional<VmName> reserve;
+  for (const auto &name : Holders) {
+    const auto &it = States.at(name);
+    if (it.FailingSince) {
+      if (!reserve)
+        reserve = name;
+      continue;
+    }
+    if (name == self && selfFree)
+      return name;
+    if (!best || it.Outstanding < least) {
+      best = name;
+      least = it.Outstanding;
+    }
+  }
+  return best ? best : reserve;
+}
+
+void Paths::started(const VmName &by) {
+  if (auto it = States.find(by); it != States.end())
+    ++it->second.Outstanding;
+}
+
+void Paths::ended(const VmName &by, bool failed, TimePoint now) {
+  auto found = States.find(by);
+  if (found == States.end())
+    return;
+  auto &it = found->second;
+  if (it.Outstanding > 0)
+    --it.Outstanding;
+  if (!failed)
+    it.FailingSince.reset();
+  else if (!it.FailingSince) {
+    it.FailingSince = now;
+    it.NextProbe = now + limits::PathProbe;
+  }
+}
+
+std::vector<VmName> Paths::probesDue(TimePoint now) {
+  std::vector<VmName> out;
+  for (auto &[name, it] : States) {
+    if (!it.FailingSince || now < it.NextProbe)
+      continue;
+    it.NextProbe = now + limits::PathProbe;
+    out.push_back(name);
+  }
+  return out;
+}
+
+std::optional<TimePoint> Paths::unreachableSince() const {
+  std::optional<TimePoint> out;
+  for (const auto &[name, it] : States) {
+    if (!it.FailingSince)
+      return std::nullopt;
+    out = std::max(out.value_or(*it.FailingSince), *it.FailingSince);
+  }
+  return out;
+}
+
+} // namespace peridotfall::proxy
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -1,6 +1,7 @@
 #include "proxy/peers.h"
 
 #include "messages/inner.h"
+#include "messages/lease.h"
 #include "telemetry/events.h"
 
 #include <utility>
@@ -13,19 +14,11 @@
 constexpr int StatusBad = 400;
 constexpr int StatusNone = 404;
 
-http::Request post(const char *path, std::string body) {
-  http::Request it;
-  it.Method = "POST";
-  it.Path = path;
-  it.Body = std::move(body);
-  return it;
-}
-
 } // namespace
 
-Peers::Peers(asio::io_context &loop, Member self, Groups &groups,
+Peers::Peers(Channels &channels, Member self, Groups &groups,
              const Clock &clock)
-    : Loop(loop), Targets(groups), Time(clock),
+    : Links(channels), Targets(groups), Time(clock),
       View(self, MembershipOptions{}, self.Incarnation) {}
 
 void Peers::takeList(const std::vector<Member> &list) {
@@ -45,13 +38,6 @@
     OnMembers(live);
 }
 
-std::shared_ptr<http::Channel> Peers::channel(const std::string &address) {
-  auto &it = Channels[address];
-  if (!it)
-    it = std::make_shared<http::Channel>(Loop, address, http::ChannelOptions{});
-  return it;
-}
-
 std::string Peers::newsFor(const VmName &vm) {
   messages::News news;
   news.From = View.self();
@@ -64,7 +50,6 @@
 void Peers::probe(const Member &member) {
   if (member.InnerAddress.empty())
     return;
-  auto request = post(messages::NewsPath, newsFor(member.Vm));
   auto done = [this, member](const http::CallResult &result) {
     auto now = Time.now();
     bool answered = result && result.value().Status == StatusOk;
@@ -72,19 +57,15 @@
                          : Result<messages::News>(Error{});
     if (!news) {
       View.takeMiss(member, now);
-      // A silent connection stays silent; the next probe opens its own.
-      if (auto it = Channels.find(member.InnerAddress); it != Channels.end()) {
-        it->second->close();
-        Channels.erase(it);
-      }
+      Links.drop(member.InnerAddress);
     } else {
       View.takeAnswer(member, news.value().From, now);
       View.takeNews(news.value().Members, now);
     }
     publish();
   };
-  channel(member.InnerAddress)
-      ->call(std::move(request), limits::PeerLimit, done);
+  Links.call(member.InnerAddress, messages::NewsPath, newsFor(member.Vm),
+             limits::PeerLimit, done);
 }
 
 void Peers::tick() {
@@ -126,7 +107,7 @@
     return;
   }
   messages::LeadView out;
-  auto *group = Targets.use(GroupName(question.value().Group));
+  auto *group = Targets.use(question.value().Group);
   out.Known = group && !group->Targets.empty();
   if (out.Known) {
     auto proof = group->View.lastProof();
@@ -153,7 +134,7 @@
     done({});
     return;
   }
-  auto body = messages::encode(messages::LeadQuestion{group.Value});
+  auto body = messages::encode(messages::LeadQuestion{group});
   for (const auto &address : addresses) {
     auto heard = [poll, done](const http::CallResult &result) {
       if (result && result.value().Status == StatusOk) {
@@ -166,8 +147,8 @@
       if (--poll->Left == 0)
         done(poll->Heard);
     };
-    channel(address)->call(post(messages::LeadViewPath, body),
-                           limits::EvidenceLimit, heard);
+    Links.call(address, messages::LeadViewPath, body, limits::EvidenceLimit,
+               heard);
   }
 }
 
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -4,14 +4,12 @@
 #ifndef PERIDOTFALL_PROXY_PEERS_H
 #define PERIDOTFALL_PROXY_PEERS_H
 
-#include "http/channel.h"
 #include "http/message.h"
-#include "messages/lead_view.h"
 #include "peridotfall/membership.h"
+#include "proxy/relay.h"
 #include "proxy/succession.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 
 namespace peridotfall::proxy {
@@ -36,8 +34,7 @@
 /// All calls on the loop.
 class Peers {
 public:
-  Peers(asio::io_context &loop, Member self, Groups &groups,
-        const Clock &clock);
+  Peers(Channels &channels, Member self, Groups &groups, const Clock &clock);
 
   std::function<void(const std::vector<Member> &live)> OnMembers;
 
@@ -55,16 +52,14 @@
   void probe(const Member &member);
   void answerNews(const http::Request &request, const http::Respond &respond);
   void answerLead(const http::Request &request, const http::Respond &respond);
-  std::shared_ptr<http::Channel> channel(const std::string &address);
   std::string newsFor(const VmName &vm);
   void publish();
 
-  asio::io_context &Loop;
+  Channels &Links;
   Groups &Targets;
   const Clock &Time;
   Membership View;
   std::uint64_t Published = 0;
-  std::map<std::string, std::shared_ptr<http::Channel>> Channels;
 };
 
 } // namespace peridotfall::proxy
--- /dev/null
+++ b/src/proxy/relay.cpp
@@ -0,0 +1,220 @@
+#include "proxy/relay.h"
+
+#include "messages/lease.h"
+
+#include <asio/post.hpp>
+#include <utility>
+
+namespace peridotfall::proxy {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusBad = 400;
+
+milliseconds toMillis(Duration it) {
+  return std::chrono::ceil<milliseconds>(it);
+}
+
+BatchResult refused(const char *why, bool unreachable) {
+  BatchResult out;
+  out.Why = {ErrorKind::Busy, why};
+  out.TargetUnreachable = unreachable;
+  return out;
+}
+
+} // namespace
+
+std::shared_ptr<http::Channel> Channels::to(const std::string &address) {
+  auto &it = Open[address];
+  if (!it)
+    it = std::make_shared<http::Channel>(Loop, address, http::ChannelOptions{});
+  return it;
+}
+
+void Channels::drop(const std::string &address) {
+  auto it = Open.find(address);
+  if (it == Open.end())
+    return;
+  auto channel = it->second;
+  Open.erase(it);
+  channel->close();
+}
+
+void Channels::call(const std::string &address, const char *path,
+                    std::string body, milliseconds limit, http::OnResult done) {
+  if (address.empty()) {
+    asio::post(Loop, [done = std::move(done)] {
+      done(http::TransportError{http::Failure::NotSent, "no address known"});
+    });
+    return;
+  }
+  http::Request request;
+  request.Method = "POST";
+  request.Path = path;
+  request.Body = std::move(body);
+  to(address)->call(std::move(request), limit, std::move(done));
+}
+
+void RelayClient::begin(const VmName &holder, LeaseId lease,
+                        const LeaseRequest &request, Batch first,
+                        OnBatch done) {
+  Leases[lease] = {AddressOf(holder), {}, false};
+  auto limit = std::min(request.Wait + first.Patience, request.Total);
+  auto body = messages::encode(messages::BeginLease{request, std::move(first)});
+  send(lease, messages::BeginLeasePath, std::move(body), toMillis(limit), done);
+}
+
+void RelayClient::run(LeaseId lease, Batch next, OnBatch done) {
+  auto there = Leases.at(lease).There;
+  auto limit = next.Patience;
+  auto body = messages::encode(messages::RunLease{there, std::move(next)});
+  send(lease, messages::RunLeasePath, std::move(body), toMillis(limit), done);
+}
+
+void RelayClient::send(LeaseId lease, const char *path, std::string body,
+                       milliseconds limit, const OnBatch &done) {
+  Links.call(Leases.at(lease).Address, path, std::move(body),
+             limit + limits::RelaySlack,
+             [this, lease, done](const http::CallResult &result) {
+               take(lease, result, done);
+             });
+}
+
+void RelayClient::take(LeaseId lease, const http::CallResult &result,
+                       const OnBatch &done) {
+  auto it = Leases.find(lease);
+  if (it == Leases.end())
+    return;
+  auto held = it->second;
+  BatchResult out;
+  bool answered = result && result.value().Status == StatusOk;
+  auto answer = answered ? messages::decodeLeaseAnswer(result.value().Body)
+                         : Result<messages::LeaseAnswer>(Error{});
+  if (answer) {
+    out = std::move(answer.value().Result);
+    it->second.There = answer.value().Lease;
+  } else {
+    bool notSent = !result && result.error().Kind == http::Failure::NotSent;
+    out = refused("the holder of the connections does not answer", true);
+    out.End = notSent ? BatchEnd::NotRun : BatchEnd::Lost;
+    // Others may have been sent on it; they have their own limits.
+    if (!result && !notSent)
+      Links.drop(held.Address);
+  }
+  if (!out.Kept || held.Abandoned)
+    Leases.erase(it);
+  if (held.Abandoned && out.Kept)
+    letGo(held.Address, answer.value().Lease);
+  if (done && !held.Abandoned)
+    done(std::move(out));
+}
+
+void RelayClient::letGo(const std::string &address, LeaseId there) {
+  // Without an answer the holder rolls back when the connection is gone.
+  Links.call(address, messages::AbandonLeasePath,
+             messages::encode(messages::AbandonLease{there}),
+             limits::RollbackLimit, [](const http::CallResult &) {});
+}
+
+void RelayClient::abandon(LeaseId lease) {
+  auto it = Leases.find(lease);
+  if (it == Leases.end())
+    return;
+  if (!it->second.There.valid()) {
+    it->second.Abandoned = true;
+    return;
+  }
+  auto held = it->second;
+  Leases.erase(it);
+  letGo(held.Address, held.There);
+}
+
+bool RelayServer::handle(const http::Request &request,
+                         const http::Respond &respond) {
+  if (request.Path == messages::BeginLeasePath)
+    begin(request, respond);
+  else if (request.Path == messages::RunLeasePath)
+    run(request, respond);
+  else if (request.Path == messages::AbandonLeasePath)
+    abandon(request, respond);
+  else
+    return false;
+  return true;
+}
+
+OnBatch RelayServer::answering(ConnectionHandle connection,
+                               std::shared_ptr<LeaseId> lease,
+                               const http::Respond &respond) {
+  return [this, connection, lease = std::move(lease),
+          respond](BatchResult result) {
+    if (!result.Kept)
+      Leases[connection].erase(*lease);
+    respond(
+        {StatusOk,
+         {},
+         messages::encode(messages::LeaseAnswer{std::move(result), *lease})});
+  };
+}
+
+void RelayServer::begin(const http::Request &request,
+                        const http::Respond &respond) {
+  auto message = messages::decodeBeginLease(request.Body);
+  if (!message) {
+    respond({StatusBad, {}, message.error().Message});
+    return;
+  }
+  auto lease = std::make_shared<LeaseId>();
+  auto &it = message.value();
+  *lease = Targets.beginHere(it.Request, std::move(it.First),
+                             answering(request.Connection, lease, respond));
+  if (lease->valid())
+    Leases[request.Connection].insert(*lease);
+  else
+    respond({StatusOk,
+             {},
+             messages::encode(messages::LeaseAnswer{
+                 refused("target not known here", true), {}})});
+}
+
+void RelayServer::run(const http::Request &request,
+                      const http::Respond &respond) {
+  auto message = messages::decodeRunLease(request.Body);
+  if (!message) {
+    respond({StatusBad, {}, message.error().Message});
+    return;
+  }
+  auto id = message.value().Lease;
+  // Only the daemon that began it may go on with it, and only between its
+  // batches.
+  if (!Leases[request.Connection].contains(id) || !Targets.isHeldHere(id)) {
+    respond({StatusOk,
+             {},
+             messages::encode(
+                 messages::LeaseAnswer{refused("no such lease", false), {}})});
+    return;
+  }
+  Targets.run(
+      id, std::move(message.value().Next),
+      answering(request.Connection, std::make_shared<LeaseId>(id), respond));
+}
+
+void RelayServer::abandon(const http::Request &request,
+                          const http::Respond &respond) {
+  auto message = messages::decodeAbandonLease(request.Body);
+  if (message && Leases[request.Connection].erase(message.value().Lease) > 0)
+    Targets.abandon(message.value().Lease);
+  respond({StatusOk, {}, {}});
+}
+
+void RelayServer::closed(ConnectionHandle connection) {
+  auto it = Leases.find(connection);
+  if (it == Leases.end())
+    return;
+  auto leases = std::move(it->second);
+  Leases.erase(it);
+  for (auto lease : leases)
+    Targets.abandon(lease);
+}
+
+} // namespace peridotfall::proxy
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -347,9 +347,8 @@
 
 void Sessions::placeAtPrimary(Session &session, Group &group) {
   auto leader = Targets.writable(group);
-  auto *pool = leader ? Targets.pool(*leader) : nullptr;
   // A primary that cannot be reached is waited for like one not known.
-  if (!pool || pool->unreachableSince()) {
+  if (!leader || Targets.unreachableSince(*leader)) {
     park(session);
     return;
   }
@@ -410,29 +409,24 @@
   out.Session = session.Set;
   if (unit.It.Kind == StatementKind::Execute)
     out.Needs = {unit.It.Body};
-  if (!inTransaction && !reads(unit.It)) {
-    out.Statements = {unit.It};
-    out.EndsLease = true;
-    return out;
-  }
-  auto first =
-      ownStatement(atPrimary ? StatementKind::Begin : StatementKind::BeginRead);
-  if (!inTransaction && !atPrimary) {
-    out.Statements = {unit.It};
-    out.Statements.back().NotBefore = notBefore;
-    out.EndsLease = true;
-    return out;
-  }
-  if (!atPrimary)
-    first.NotBefore = notBefore;
-  out.Statements = {first};
-  // A write sent along would run by itself if the beginning failed.
-  if (writes(unit.It))
+  bool proves = !inTransaction && atPrimary && reads(unit.It);
+  if (inTransaction || proves) {
+    out.Statements = {ownStatement(atPrimary ? StatementKind::Begin
+                                             : StatementKind::BeginRead)};
+    if (!atPrimary)
+      out.Statements[0].NotBefore = notBefore;
+  }
+  // What is sent along with a beginning that fails runs by itself: a read of
+  // the transaction outside of it, a write that nobody commits. So it waits
+  // for the answer. A lone read may run so; its row is then dropped.
+  if (inTransaction)
     return out;
   out.Statements.push_back(unit.It);
-  if (!inTransaction)
+  if (proves)
     out.Statements.push_back(ownStatement(StatementKind::Rollback));
-  out.EndsLease = !inTransaction || unit.It.Kind == StatementKind::Commit;
+  else if (reads(unit.It))
+    out.Statements[0].NotBefore = notBefore;
+  out.EndsLease = true;
   return out;
 }
 
@@ -471,7 +465,7 @@
   if (auto *group = Targets.find(unit.Served.Group))
     group->Reads.started(target);
   LeaseRequest request{target, unit.Served.Priority,
-                       std::min<Duration>(wait, left - limits::LeastTry)};
+                       std::min<Duration>(wait, left - limits::LeastTry), left};
   auto then = [this](Session &it, const BatchResult &r) { onFirst(it, r); };
   unit.Lease = Targets.begin(request, std::move(batch), guarded(session, then));
 }
@@ -621,7 +615,8 @@
                                           field("target", unit.Target.Value),
                                           field("why", result.Why.Detail),
                                           field("commit_sent", commit)});
-  if (commit && session.Open.Wrote) {
+  // Without a byte of the commit sent, the transaction was rolled back.
+  if (commit && session.Open.Wrote && result.End == BatchEnd::Lost) {
     giveUpLost(session, result.Why.Detail.c_str());
     return;
   }
--- a/src/proxy/succession.cpp
+++ b/src/proxy/succession.cpp
@@ -218,15 +218,15 @@
                            Change &change) {
   for (const auto &it : group.Targets) {
     bool candidate = it.Name != group.View.leader() && !it.Leaving;
-    if (!candidate || !Targets.pool(it.Name) ||
-        !change.Asked.insert(it.Name).second)
+    if (!candidate || !change.Asked.insert(it.Name).second)
       continue;
     Batch batch;
     batch.Statements.resize(1);
     batch.Statements[0].Kind = StatementKind::Status;
     batch.EndsLease = true;
     batch.Patience = limits::ChoiceLimit;
-    LeaseRequest request{it.Name, 0, limits::ChoiceLimit};
+    LeaseRequest request{it.Name, 0, limits::ChoiceLimit,
+                         2 * limits::ChoiceLimit};
     auto target = it.Name;
     auto heard = [this, name, target](const BatchResult &result) {
       auto found = Changes.find(name);
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -40,7 +40,8 @@
   LeaseId id{++LastLease};
   auto now = Time.now();
   auto until = now + (Retired ? Duration{} : request.Wait);
-  Waiter waiter{id, request.Priority, std::move(first), std::move(done), until};
+  Waiter waiter{id,    request.Priority,   std::move(first), std::move(done),
+                until, now + request.Total};
   auto place = std::find_if(Waiting.begin(), Waiting.end(), [&](const auto &w) {
     return w.Priority > request.Priority;
   });
@@ -52,7 +53,8 @@
 
 void TargetPool::run(LeaseId lease, Batch next, OnBatch done) {
   auto it = findLease(lease);
-  start(it, lease, std::move(next), std::move(done));
+  auto end = Time.now() + next.Patience;
+  start(it, lease, std::move(next), std::move(done), end);
 }
 
 bool TargetPool::owns(LeaseId lease) const {
@@ -61,6 +63,11 @@
                      [&](const Waiter &it) { return it.Lease == lease; });
 }
 
+bool TargetPool::isHeld(LeaseId lease) const {
+  auto it = Leases.find(lease);
+  return it != Leases.end() && Connections.at(it->second).State == Phase::Held;
+}
+
 TargetPool::ConnectionIt TargetPool::findLease(LeaseId lease) {
   return Connections.find(Leases.at(lease));
 }
@@ -94,7 +101,8 @@
       break;
     auto waiter = std::move(Waiting.front());
     Waiting.pop_front();
-    start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done));
+    start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done),
+          waiter.End);
   }
   openMore();
 }
@@ -120,24 +128,26 @@
   auto now = Time.now();
   if (Retired || now < OpenAfter)
     return;
+  // Other daemons may believe for a moment longer that this one holds some.
+  auto most = std::max<std::size_t>(Capacity, 1);
   std::size_t opening = 0;
   for (const auto &it : Connections)
     opening += it.second.State == Phase::Opening;
-  while (opening < Waiting.size() && Connections.size() < Capacity) {
+  while (opening < Waiting.size() && Connections.size() < most) {
     auto id = Port.open(Target);
     Connections[id].Since = now;
     ++opening;
   }
 }
 
-void TargetPool::start(ConnectionIt it, LeaseId lease, Batch work,
-                       OnBatch done) {
+void TargetPool::start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done,
+                       TimePoint end) {
   auto &connection = it->second;
   auto out = planSetup(connection.Environment, work.Session, work.Needs);
   Running running;
   running.Setup = out.size();
   running.Done = std::move(done);
-  running.Until = Time.now() + work.Patience;
+  running.Until = std::min(Time.now() + work.Patience, end);
   out.insert(out.end(), work.Statements.begin(), work.Statements.end());
   running.Work = std::move(work);
   connection.Current = std::move(running);
@@ -153,16 +163,10 @@
     return;
   it->second.State = Phase::Idle;
   it->second.Since = Time.now();
-  FailingSince.reset();
-  AnsweredAt = Time.now();
+  Failing = false;
   assign();
 }
 
-void TargetPool::failed() {
-  if (!FailingSince)
-    FailingSince = Time.now();
-}
-
 void TargetPool::openFailed(ConnectionId connection,
                             const std::optional<StatementError> &why) {
   Connections.erase(connection);
@@ -172,22 +176,21 @@
     return;
   }
   OpenAfter = now + limits::RefusedPause;
-  failed();
+  Failing = true;
   bool anyOpen =
       std::any_of(Connections.begin(), Connections.end(), [](const auto &it) {
         return it.second.State != Phase::Opening;
       });
   // Nothing here can serve what waits; another target may.
   if (!anyOpen)
-    refuseWaiting(ErrorKind::Busy, "target unreachable");
+    refuseWaiting("target unreachable");
 }
 
 void TargetPool::answered(ConnectionId connection, Answer answer) {
   auto it = Connections.find(connection);
   if (it == Connections.end())
     return;
-  AnsweredAt = Time.now();
-  FailingSince.reset();
+  Failing = false;
   if (!it->second.Current) {
     lose(it, "answer to no statement");
     return;
@@ -250,7 +253,8 @@
   work.Statements = {rollbackStatement()};
   work.EndsLease = true;
   work.Patience = limits::RollbackLimit;
-  start(it, lease, std::move(work), nullptr);
+  auto end = Time.now() + work.Patience;
+  start(it, lease, std::move(work), nullptr, end);
 }
 
 void TargetPool::lose(ConnectionIt it, const char *why) {
@@ -265,6 +269,7 @@
   auto &running = *connection.Current;
   running.Result.End = BatchEnd::Lost;
   running.Result.Why = {ErrorKind::InDoubt, why};
+  running.Result.TargetUnreachable = Failing;
   running.Done(std::move(running.Result));
 }
 
@@ -272,10 +277,7 @@
   auto it = Connections.find(connection);
   if (it == Connections.end())
     return;
-  bool wasBusy = it->second.State != Phase::Idle;
   lose(it, "connection to the target lost");
-  if (wasBusy)
-    failed();
 }
 
 void TargetPool::closeIdle() {
@@ -289,13 +291,29 @@
   }
 }
 
-void TargetPool::refuseWaiting(ErrorKind kind, const char *why) {
+void TargetPool::refuse(Waiter &waiter, const char *why) {
+  BatchResult result;
+  result.Why = {ErrorKind::Busy, why};
+  result.TargetUnreachable = Failing;
+  waiter.Done(std::move(result));
+}
+
+void TargetPool::refuseWaiting(const char *why) {
   auto waiting = std::exchange(Waiting, {});
-  for (auto &it : waiting) {
-    BatchResult result;
-    result.Why = {kind, why};
-    it.Done(std::move(result));
-  }
+  for (auto &it : waiting)
+    refuse(it, why);
+}
+
+void TargetPool::setCapacity(std::size_t connections) {
+  Capacity = connections;
+  // Another daemon may use the places from now on.
+  if (Capacity == 0)
+    closeIdle();
+}
+
+bool TargetPool::isFree() const {
+  auto now = stats();
+  return now.Waiting == 0 && (now.Idle > 0 || now.Open < Capacity);
 }
 
 void TargetPool::tick() {
@@ -318,7 +336,7 @@
   for (auto id : silent) {
     auto it = Connections.find(id);
     if (it != Connections.end()) {
-      failed();
+      Failing = true;
       lose(it, "target silent");
     }
   }
@@ -326,7 +344,8 @@
     closeIdle();
   for (auto it = Connections.begin(); it != Connections.end();) {
     bool old = it->second.State == Phase::Idle &&
-               (Retired || now - it->second.Since >= limits::IdleConnection);
+               (Retired || Capacity == 0 ||
+                now - it->second.Since >= limits::IdleConnection);
     if (old)
       Port.close(it->first);
     it = old ? Connections.erase(it) : std::next(it);
@@ -340,17 +359,14 @@
     over.push_back(std::move(*it));
     it = Waiting.erase(it);
   }
-  for (auto &it : over) {
-    BatchResult result;
-    result.Why = {ErrorKind::Busy, "no connection free in time"};
-    it.Done(std::move(result));
-  }
+  for (auto &it : over)
+    refuse(it, "no connection free in time");
   openMore();
 }
 
 void TargetPool::retire() {
   Retired = true;
-  refuseWaiting(ErrorKind::Busy, "target leaves");
+  refuseWaiting("target leaves");
   closeIdle();
 }
 
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -67,6 +67,8 @@
   void run(LeaseId lease, Batch next, OnBatch done);
   void abandon(LeaseId lease);
   bool owns(LeaseId lease) const;
+  /// \return whether it waits for its next batch.
+  bool isHeld(LeaseId lease) const;
 
   void opened(ConnectionId connection);
   /// \param why the target's word; nothing: it could not be reached.
@@ -77,7 +79,9 @@
   /// Lets go of what waited or ran too long.
   void tick();
 
-  void setCapacity(std::size_t connections) { Capacity = connections; }
+  void setCapacity(std::size_t connections);
+  /// \return whether a lease would start without waiting for another.
+  bool isFree() const;
   void update(const TargetEntry &target) { Target = target; }
   /// Refuses what waits and takes nothing new; leases that are open go on.
   void retire();
@@ -87,10 +91,6 @@
   const TargetEntry &target() const { return Target; }
   PoolStats stats() const;
   bool isUnused() const { return Connections.empty() && Waiting.empty(); }
-  /// \return whether the last try to reach it failed, and since when.
-  std::optional<TimePoint> unreachableSince() const { return FailingSince; }
-  /// \return when it last answered anything.
-  std::optional<TimePoint> lastAnswer() const { return AnsweredAt; }
 
 private:
   enum class Phase : std::uint8_t { Opening, Idle, Running, Held };
@@ -117,12 +117,14 @@
     Batch First;
     OnBatch Done;
     TimePoint Until;
+    TimePoint End;
   };
   using ConnectionIt = std::map<ConnectionId, Connection>::iterator;
 
   ConnectionIt findLease(LeaseId lease);
   void assign();
-  void start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done);
+  void start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done,
+             TimePoint end);
   ConnectionIt bestIdle(const Values &session);
   void openMore();
   void finish(ConnectionIt it);
@@ -130,8 +132,8 @@
   /// Ends the batch as lost and forgets the connection.
   void lose(ConnectionIt it, const char *why);
   void closeIdle();
-  void refuseWaiting(ErrorKind kind, const char *why);
-  void failed();
+  void refuse(Waiter &waiter, const char *why);
+  void refuseWaiting(const char *why);
 
   TargetEntry Target;
   TargetPort &Port;
@@ -143,8 +145,7 @@
   std::map<LeaseId, ConnectionId> Leases;
   std::deque<Waiter> Waiting;
   TimePoint OpenAfter{};
-  std::optional<TimePoint> FailingSince;
-  std::optional<TimePoint> AnsweredAt;
+  bool Failing = false; ///< The last try to reach it got no answer.
 };
 
 } // namespace peridotfall::proxy
--- /dev/null
+++ b/tests/proxy/fixture.h
@@ -0,0 +1,228 @@
+/// \file
+/// One daemon's sessions and groups before three targets that the test plays,
+/// in virtual time.
+
+#ifndef PERIDOTFALL_TESTS_PROXY_FIXTURE_H
+#define PERIDOTFALL_TESTS_PROXY_FIXTURE_H
+
+#include "proxy/sessions.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace peridotfall::proxy {
+
+/// Statements that reached a target, by connection, in order.
+struct FakeTargets final : TargetPort {
+  struct Line {
+    TargetName Target;
+    bool Open = true;
+    std::deque<Statement> Unanswered;
+    std::vector<Statement> Seen;
+  };
+
+  ConnectionId open(const TargetEntry &target) override {
+    ConnectionId id{++Last};
+    Lines[id].Target = target.Name;
+    Opening.push_back(id);
+    return id;
+  }
+  void send(ConnectionId connection,
+            const std::vector<Statement> &statements) override {
+    auto &it = Lines.at(connection);
+    it.Unanswered.insert(it.Unanswered.end(), statements.begin(),
+                         statements.end());
+    it.Seen.insert(it.Seen.end(), statements.begin(), statements.end());
+  }
+  void close(ConnectionId connection) override {
+    Lines.at(connection).Open = false;
+  }
+
+  std::uint64_t Last = 0;
+  std::map<ConnectionId, Line> Lines;
+  std::vector<ConnectionId> Opening;
+};
+
+struct FakeCallers final : CallerPort {
+  void greet(CallerId caller) override { Greeted.push_back(caller); }
+  void answer(CallerId caller, const Answer &answer) override {
+    Answers[caller].push_back(answer);
+  }
+  void reject(CallerId caller, const StatementError &why) override {
+    Rejected[caller] = why;
+  }
+  void close(CallerId caller) override { Closed.push_back(caller); }
+
+  std::vector<CallerId> Greeted;
+  std::map<CallerId, std::vector<Answer>> Answers;
+  std::map<CallerId, StatementError> Rejected;
+  std::vector<CallerId> Closed;
+};
+
+/// No other daemon.
+struct NoRelay final : RelayPort {
+  void begin(const VmName &, LeaseId, const LeaseRequest &, Batch,
+             OnBatch) override {
+    FAIL("nothing is relayed here");
+  }
+  void run(LeaseId, Batch, OnBatch) override {}
+  void abandon(LeaseId) override {}
+  bool owns(LeaseId) const override { return false; }
+};
+
+/// A primary "p" and replicas "r" and "s" of one group. The routes "orders"
+/// (primary), "views" (bounded staleness) and "status" (read your writes).
+struct ProxyFixture {
+  static constexpr Term InTerm = 3;
+
+  ManualClock Time;
+  FakeTargets Links;
+  FakeCallers Side;
+  NoRelay Elsewhere;
+  Groups All{{VmName("vm"), DomainName("press"), RegionName("tartu")},
+             Links,
+             Elsewhere,
+             Time};
+  Sessions Callers{All, Side, Time};
+  TargetList Entries;
+  Position Head{InTerm, 100};
+  std::uint64_t LastCaller = 0;
+  unsigned LastRequest = 0;
+
+  ProxyFixture() {
+    addTarget("p", true);
+    addTarget("r", false);
+    addTarget("s", false);
+    All.takeTargets(Entries);
+    RoutingTable table;
+    table.Version = 1;
+    table.Groups[GroupName("ledger")] = {16, false};
+    addRoute(table, "orders", Guarantee::Primary);
+    addRoute(table, "views", Guarantee::BoundedStaleness);
+    addRoute(table, "status", Guarantee::ReadYourWrites);
+    All.takeSettings(table.Groups);
+    Callers.takeRoutes(table);
+  }
+
+  void addTarget(const char *name, bool primary) {
+    TargetEntry it;
+    it.Name = TargetName(name);
+    it.Group = GroupName("ledger");
+    it.Address = "127.0.0.1:1";
+    it.Domain = DomainName(std::string("domain-") + name);
+    it.Region = RegionName("tartu");
+    it.Born = 1;
+    it.Slots = 2;
+    it.ClaimsPrimary = primary;
+    it.Revision = Entries.size() + 1;
+    Entries[it.Name] = it;
+  }
+  static void addRoute(RoutingTable &table, const char *name, Guarantee reads) {
+    Route it;
+    it.Database = DatabaseName(name);
+    it.Group = GroupName("ledger");
+    it.Reads = reads;
+    if (reads != Guarantee::Primary)
+      it.MaxStaleness = milliseconds(1'500);
+    table.Routes[it.Database] = it;
+  }
+
+  CallerId session(const char *database) {
+    CallerId id{++LastCaller};
+    Callers.start(id, DatabaseName(database));
+    return id;
+  }
+  void send(CallerId caller, StatementKind kind, const char *text = "") {
+    Statement it;
+    it.Kind = kind;
+    it.Id = "q" + std::to_string(++LastRequest);
+    it.Text = text;
+    Callers.statement(caller, it);
+  }
+  const std::vector<Answer> &answers(CallerId caller) {
+    return Side.Answers[caller];
+  }
+  const Answer &last(CallerId caller) {
+    REQUIRE_FALSE(Side.Answers[caller].empty());
+    return Side.Answers[caller].back();
+  }
+
+  /// Greets every connection that is being made.
+  void greetAll() {
+    while (!Links.Opening.empty()) {
+      auto id = Links.Opening.back();
+      Links.Opening.pop_back();
+      All.withPools(Links.Lines.at(id).Target,
+                    [&](TargetPool &pool) { pool.opened(id); });
+    }
+  }
+  /// \return the connection of the target that has an unanswered statement.
+  std::optional<ConnectionId> busyAt(const char *target) {
+    for (const auto &[id, it] : Links.Lines)
+      if (it.Open && it.Target.Value == target && !it.Unanswered.empty())
+        return id;
+    return std::nullopt;
+  }
+  /// Answers the oldest statement on a connection.
+  Statement answer(ConnectionId id, Answer answer) {
+    auto &line = Links.Lines.at(id);
+    REQUIRE_FALSE(line.Unanswered.empty());
+    auto out = line.Unanswered.front();
+    line.Unanswered.pop_front();
+    All.withPools(line.Target,
+                  [&](TargetPool &pool) { pool.answered(id, answer); });
+    return out;
+  }
+  Answer success(const Statement &it, TransactionState state) const {
+    Answer out;
+    bool isOwn = it.Id.empty();
+    out.Signature = isOwn ? "-" : "sig-" + it.Id;
+    if (it.Kind == StatementKind::Read)
+      out.Rows = {"row"};
+    out.State = state;
+    out.At = Head;
+    return out;
+  }
+  static Answer failure(ErrorKind kind, TransactionState state) {
+    Answer out;
+    out.Error = StatementError{kind, ""};
+    out.State = state;
+    return out;
+  }
+  /// Answers all that the target was asked, as a healthy one does.
+  void serve(const char *target, TransactionState state) {
+    greetAll();
+    while (auto id = busyAt(target)) {
+      const auto &next = Links.Lines.at(*id).Unanswered.front();
+      bool ends = next.Kind == StatementKind::Rollback ||
+                  next.Kind == StatementKind::Commit;
+      bool begins = next.Kind == StatementKind::Begin ||
+                    next.Kind == StatementKind::BeginRead;
+      answer(*id, success(next, ends     ? TransactionState::Idle
+                                : begins ? TransactionState::Open
+                                         : state));
+    }
+  }
+  /// Lets the group learn its log's head.
+  void learnHead() {
+    auto caller = session("orders");
+    send(caller, StatementKind::Read, "READ a");
+    serve("p", TransactionState::Open);
+    REQUIRE(last(caller).ok());
+  }
+  void pass(Duration span) {
+    constexpr milliseconds Step{20};
+    for (Duration done{}; done < span; done += Step) {
+      Time.advance(Step);
+      All.tick();
+      Callers.tick();
+    }
+  }
+};
+
+} // namespace peridotfall::proxy
+
+#endif // PERIDOTFALL_TESTS_PROXY_FIXTURE_H
--- /dev/null
+++ b/tests/proxy/sessions_test.cpp
@@ -0,0 +1,238 @@
+#include "fixture.h"
+
+using namespace peridotfall;
+using namespace peridotfall::proxy;
+
+namespace {
+
+std::vector<StatementKind> kinds(const FakeTargets::Line &line) {
+  std::vector<StatementKind> out;
+  for (const auto &it : line.Seen)
+    out.push_back(it.Kind);
+  return out;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(ProxyFixture, "session, unknown database, is rejected") {
+  auto caller = session("nothing");
+  CHECK(Side.Rejected.at(caller).Kind == ErrorKind::NoDatabase);
+}
+
+TEST_CASE_FIXTURE(
+    ProxyFixture,
+    "lone read of a primary route, proves that its target leads") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Read, "READ a");
+  greetAll();
+  auto id = busyAt("p");
+  REQUIRE(id);
+  CHECK(kinds(Links.Lines.at(*id)) == std::vector{StatementKind::Begin,
+                                                  StatementKind::Read,
+                                                  StatementKind::Rollback});
+  serve("p", TransactionState::Open);
+  CHECK(last(caller).Signature == "sig-q1");
+  CHECK(last(caller).State == TransactionState::Idle);
+}
+
+// The caller sees the answer of a primary that has been replaced.
+// The target refuses to begin a plain transaction, as it does not lead, and
+// runs the read by itself, on an old log; the read's success must not count.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "lone read, target has lost the lead, its row is dropped") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Read, "READ a");
+  greetAll();
+  auto id = *busyAt("p");
+  answer(id, failure(ErrorKind::ReadOnly, TransactionState::Idle));
+  answer(id, success(Links.Lines.at(id).Unanswered.front(),
+                     TransactionState::Idle));
+  answer(id, failure(ErrorKind::Malformed, TransactionState::Idle));
+  CHECK(answers(caller).empty());
+}
+
+// The caller's first statement of a transaction runs outside of it.
+// The replica lacks the position asked for and refuses to begin; a read sent
+// along with the beginning is then run by itself. So it waits for the answer.
+TEST_CASE_FIXTURE(
+    ProxyFixture,
+    "first read of a transaction, beginning not answered, is not sent") {
+  learnHead();
+  auto caller = session("views");
+  send(caller, StatementKind::BeginRead);
+  send(caller, StatementKind::Read, "READ a");
+  pass(milliseconds(60));
+  greetAll();
+  std::optional<ConnectionId> id = busyAt("r") ? busyAt("r") : busyAt("s");
+  REQUIRE(id);
+  CHECK(kinds(Links.Lines.at(*id)) == std::vector{StatementKind::BeginRead});
+  answer(*id, failure(ErrorKind::Lagging, TransactionState::Idle));
+  for (const auto &it : Links.Lines.at(*id).Seen)
+    CHECK(it.Kind != StatementKind::Read);
+}
+
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "first write of a transaction, waits for its beginning") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Begin);
+  send(caller, StatementKind::Write, "WRITE a x");
+  greetAll();
+  auto id = *busyAt("p");
+  CHECK(kinds(Links.Lines.at(id)) == std::vector{StatementKind::Begin});
+  serve("p", TransactionState::Open);
+  CHECK(kinds(Links.Lines.at(id)) ==
+        std::vector{StatementKind::Begin, StatementKind::Write});
+  CHECK(last(caller).State == TransactionState::Open);
+}
+
+// The caller was told that a write is acknowledged, and reads without it.
+// Its next read asks a replica for the position that the write was given.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "read after the own write, asks for the write's position") {
+  learnHead();
+  auto caller = session("status");
+  Head.Index = 140;
+  send(caller, StatementKind::Write, "WRITE a x");
+  serve("p", TransactionState::Idle);
+  REQUIRE(last(caller).ok());
+  send(caller, StatementKind::Read, "READ a");
+  pass(milliseconds(60));
+  greetAll();
+  auto id = busyAt("r") ? busyAt("r") : busyAt("s");
+  REQUIRE(id);
+  CHECK(Links.Lines.at(*id).Unanswered.front().NotBefore ==
+        Position{InTerm, 140});
+}
+
+// The caller must hear that nothing is known: the connection broke after its
+// write was sent, and the write may have been carried out.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "lone write, connection lost, its outcome is unknown") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Write, "WRITE a x");
+  greetAll();
+  auto id = *busyAt("p");
+  All.withPools(TargetName("p"), [&](TargetPool &pool) { pool.closed(id); });
+  CHECK(last(caller).Error->Kind == ErrorKind::InDoubt);
+  CHECK(last(caller).State == TransactionState::Idle);
+}
+
+// The caller sees its transaction fail before its commit was sent; nothing of
+// it is kept, as the target rolls back what loses its connection.
+TEST_CASE_FIXTURE(
+    ProxyFixture,
+    "write in a transaction, connection lost, transaction is aborted") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Begin);
+  send(caller, StatementKind::Write, "WRITE a x");
+  serve("p", TransactionState::Open);
+  send(caller, StatementKind::Write, "WRITE b x");
+  auto id = *busyAt("p");
+  All.withPools(TargetName("p"), [&](TargetPool &pool) { pool.closed(id); });
+  CHECK(last(caller).Error->Kind == ErrorKind::Aborted);
+  CHECK(last(caller).State == TransactionState::Failed);
+  send(caller, StatementKind::Rollback);
+  CHECK(last(caller).ok());
+  CHECK(last(caller).State == TransactionState::Idle);
+}
+
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "commit that wrote, connection lost, outcome is unknown") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Begin);
+  send(caller, StatementKind::Write, "WRITE a x");
+  serve("p", TransactionState::Open);
+  send(caller, StatementKind::Commit, "COMMIT");
+  auto id = *busyAt("p");
+  All.withPools(TargetName("p"), [&](TargetPool &pool) { pool.closed(id); });
+  CHECK(last(caller).Error->Kind == ErrorKind::InDoubt);
+}
+
+// The caller gets another statement's answer. The answer to its read was lost
+// on the way, and the one to the rollback behind it comes in its place.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "answers that moved up by one, are not passed on") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Read, "READ a");
+  greetAll();
+  auto id = *busyAt("p");
+  answer(id, success(Links.Lines.at(id).Unanswered.front(),
+                     TransactionState::Open));
+  Answer rollback;
+  rollback.Signature = "-";
+  answer(id, rollback);
+  CHECK(answers(caller).empty());
+  CHECK_FALSE(Links.Lines.at(id).Open);
+}
+
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "write without a primary, waits and is refused as not run") {
+  Entries.erase(TargetName("p"));
+  All.takeTargets(Entries);
+  auto caller = session("orders");
+  send(caller, StatementKind::Write, "WRITE a x");
+  pass(milliseconds(400));
+  CHECK(answers(caller).empty());
+  pass(milliseconds(200));
+  CHECK(last(caller).Error->Kind == ErrorKind::Busy);
+  CHECK(last(caller).Error->Detail.find("retry-after-ms=") !=
+        std::string::npos);
+}
+
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "write without a primary, runs once a new one is listed") {
+  Entries.erase(TargetName("p"));
+  All.takeTargets(Entries);
+  auto caller = session("orders");
+  send(caller, StatementKind::Write, "WRITE a x");
+  pass(milliseconds(200));
+  Entries.at(TargetName("r")).ClaimsPrimary = true;
+  Entries.at(TargetName("r")).Revision = 9;
+  All.takeTargets(Entries);
+  serve("r", TransactionState::Idle);
+  CHECK(last(caller).ok());
+}
+
+// Two callers use the same name for different values; each must see its own.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "connection that served another session, gets its values") {
+  auto one = session("orders");
+  auto other = session("orders");
+  Statement set;
+  set.Kind = StatementKind::Set;
+  set.Id = "s";
+  set.Name = "zone";
+  set.Argument = "press";
+  Callers.statement(one, set);
+  send(one, StatementKind::Write, "WRITE a x");
+  serve("p", TransactionState::Idle);
+  send(other, StatementKind::Write, "WRITE b x");
+  serve("p", TransactionState::Idle);
+  auto &line = Links.Lines.begin()->second;
+  CHECK(kinds(line) == std::vector{StatementKind::Set, StatementKind::Write,
+                                   StatementKind::Reset, StatementKind::Write});
+}
+
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "prepared statement, target forgot it, is prepared again") {
+  auto caller = session("orders");
+  Statement prepare;
+  prepare.Kind = StatementKind::Prepare;
+  prepare.Id = "p";
+  prepare.Name = "s1";
+  prepare.Body = {true, "q2c"};
+  Callers.statement(caller, prepare);
+  Statement execute;
+  execute.Kind = StatementKind::Execute;
+  execute.Id = "e";
+  execute.Name = "s1";
+  execute.Argument = "a x";
+  Callers.statement(caller, execute);
+  greetAll();
+  auto id = *busyAt("p");
+  answer(id, success(Statement(), TransactionState::Idle));
+  answer(id, failure(ErrorKind::NoStatement, TransactionState::Idle));
+  CHECK(kinds(Links.Lines.at(id)) ==
+        std::vector{StatementKind::Prepare, StatementKind::Execute,
+                    StatementKind::Prepare, StatementKind::Execute});
+}
