Take a read behind a refused beginning for no proof of the lead

A replaced primary refused BEGIN and ran the READ sent behind it by itself; its success was counted as proof that the target leads, so the old log's position bounded later reads. Ruled out: BEGIN succeeding at a replaced primary (refused in every line), samples older than the bound, clocks. Change: behind a refused beginning nothing proves a lead; positions of the old leader are dropped with it, as its last records may be in no other log.

--- a/src/proxy/group_view.cpp
+++ b/src/proxy/group_view.cpp
@@ -33,6 +33,10 @@
   if (head.InTerm < LeaderTerm)
     return false;
   bool changed = Leader != target;
+  // What the old leader had last may be missing in this one's log.
+  if (!Samples.empty() && SampledAt != target)
+    Samples.clear();
+  SampledAt = target;
   Leader = target;
   LeaderTerm = head.InTerm;
   Proof = std::max(Proof.value_or(asked), asked);
--- a/src/proxy/group_view.h
+++ b/src/proxy/group_view.h
@@ -62,6 +62,7 @@
   Term LeaderTerm = 0;
   std::optional<TimePoint> Proof;
   std::deque<HeadSample> Samples;
+  TargetName SampledAt;
 };
 
 } // namespace peridotfall::proxy
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -279,6 +279,9 @@
   for (std::size_t n = 0; n < result.Answers.size(); ++n) {
     const auto &statement = batch.Statements[n];
     const auto &answer = result.Answers[n];
+    // Behind a refused beginning the target runs statements by themselves.
+    if (statement.Kind == StatementKind::Begin && !answer.ok())
+      plain = false;
     bool lead = provesLead(statement, plain);
     if (lead && answer.ok() && answer.At) {
       group.View.noteLead(target, *answer.At, sent);
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -236,3 +236,22 @@
         std::vector{StatementKind::Prepare, StatementKind::Execute,
                     StatementKind::Prepare, StatementKind::Execute});
 }
+
+// The caller reads old data from a replaced primary for as long as the
+// route's bound allows. The old primary refuses to begin a plain transaction
+// and runs the read behind it by itself; that success shows no lead, so its
+// log's position bounds nothing.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "read behind a refused beginning, does not show a lead") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Read, "READ a");
+  greetAll();
+  auto id = *busyAt("p");
+  answer(id, failure(ErrorKind::ReadOnly, TransactionState::Idle));
+  answer(id, success(Links.Lines.at(id).Unanswered.front(),
+                     TransactionState::Idle));
+  answer(id, failure(ErrorKind::Malformed, TransactionState::Idle));
+  const auto &view = All.find(GroupName("ledger"))->View;
+  CHECK_FALSE(view.leader());
+  CHECK_FALSE(view.positionFor(milliseconds(1'500), Time.now()));
+}
