Take the failover duty and replace a primary on fresh knowledge only

Four VMs and the old primary were cut from the rest and from the store. As the cut healed, one of them claimed the duty 0.15 s later, since it had missed the holder for 3 s, and at once promoted the old primary over the new one, the only target that had answered it: 76 acknowledged records were rolled back. Change: the duty is claimed only when the store has been reached for a second while the holder was still missed; a new holder's suspicions begin anew; the list of targets is read before a decision; a silent replica is waited for, 0.7 s at most.

--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -17,7 +17,9 @@
 
 void Mirror::start() { refresh(); }
 
-void Mirror::refresh() {
+void Mirror::refresh(std::function<void()> done) {
+  if (done)
+    Refreshed.push_back(std::move(done));
   ++Round;
   MustList = true;
   NextTry.reset();
@@ -64,9 +66,15 @@
     return Copy.contains(it.first) && !before.contains(it.first);
   });
   publish();
+  endRefresh();
   watchOn();
 }
 
+void Mirror::endRefresh() {
+  for (auto &it : std::exchange(Refreshed, {}))
+    it();
+}
+
 void Mirror::watchOn() {
   Source.watch(Kind, Revision, limits::WatchWait,
                [this, round = Round](const ObjectChanges &changes) {
@@ -111,6 +119,7 @@
     telemetry::log(Event::StoreLost, {field("kind", Kind)});
   Current = false;
   NextTry = Time.now() + Pause.failed();
+  endRefresh();
 }
 
 /// Load: an outage of the store in which the entries of live targets lapse.
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -85,7 +85,8 @@
   void start();
   void tick();
   /// Lists again at once.
-  void refresh();
+  /// \param done is called once the copy is new, or could not be read.
+  void refresh(std::function<void()> done = nullptr);
   /// \return whether the store answered last.
   bool isCurrent() const { return Current; }
   const std::string &kind() const { return Kind; }
@@ -99,6 +100,7 @@
   void regained();
   void remove(const std::string &name);
   void publish();
+  void endRefresh();
 
   std::string Kind;
   ObjectSource &Source;
@@ -114,6 +116,7 @@
   bool Current = false;
   bool EverCurrent = false;
   bool MustList = true;
+  std::vector<std::function<void()>> Refreshed;
   std::optional<TimePoint> GraceUntil;
   std::map<std::string, bool> Vanished;
 };
--- a/src/proxy/succession.cpp
+++ b/src/proxy/succession.cpp
@@ -9,6 +9,14 @@
 using telemetry::Event;
 using telemetry::field;
 
+namespace {
+
+bool isCandidate(const Group &group, const TargetEntry &it) {
+  return it.Name != group.View.leader() && !it.Leaving;
+}
+
+} // namespace
+
 Succession::Succession(Place self, std::uint64_t incarnation, Groups &groups,
                        SuccessionPort &port, const Clock &clock)
     : Self(std::move(self)), Incarnation(incarnation), Targets(groups),
@@ -28,8 +36,11 @@
   Record = record;
   Revision = revision;
   if (otherHolder)
-    HolderSeen = Time.now();
+    seeHolder();
+  if (StoreAsked && !StoreReached)
+    StoreReached = Time.now();
   if (!held && holds()) {
+    forgetSuspicions();
     NextNumber = record->First;
     telemetry::log(Event::DutyTaken, {field("first_number", record->First),
                                       field("revision", revision)});
@@ -70,15 +81,36 @@
             it.Incarnation == 0 || it.Incarnation == Record->Incarnation;
         return it.Vm == Record->Holder && same && !it.Leaving;
       });
-  if (alive) {
-    HolderSeen = now;
+  if (alive)
+    seeHolder();
+  else if (now >= NextClaim)
+    missHolder(now);
+}
+
+void Succession::seeHolder() {
+  HolderSeen = Time.now();
+  StoreAsked = false;
+  StoreReached.reset();
+}
+
+void Succession::missHolder(TimePoint now) {
+  auto place = rank();
+  if (!place)
+    return;
+  auto turn = Duration(limits::DutyStagger) * *place;
+  auto missed = now - HolderSeen;
+  if (!Record) {
+    if (missed >= turn)
+      claim(now);
     return;
   }
-  auto place = rank();
-  if (!place || now < NextClaim)
+  if (missed < limits::DutyLease - limits::DutyConfirm + turn)
     return;
-  auto lease = Record ? Duration(limits::DutyLease) : Duration{};
-  if (now - HolderSeen >= lease + Duration(limits::DutyStagger) * *place)
+  if (!StoreReached) {
+    StoreAsked = true;
+    NextClaim = now + limits::DutyRetry;
+    Port.readRecord();
+  } else if (now - *StoreReached >= limits::DutyConfirm)
     claim(now);
 }
 
@@ -116,10 +148,8 @@
   LastTick = now;
   if (paused) {
     // Frozen or suspended: nothing was heard because nothing was read.
-    HolderSeen = now;
-    for (auto &[name, group] : Targets.all())
-      if (group->LeaderMissing)
-        group->LeaderMissing = now;
+    seeHolder();
+    forgetSuspicions();
   }
   tickDuty(now);
   if (!holds())
@@ -128,6 +158,12 @@
     tickGroup(name, *group, now);
 }
 
+void Succession::forgetSuspicions() {
+  for (auto &[name, group] : Targets.all())
+    if (group->LeaderMissing)
+      group->LeaderMissing = Time.now();
+}
+
 void Succession::tickGroup(const GroupName &name, Group &group, TimePoint now) {
   if (group.Targets.empty())
     return;
@@ -139,9 +175,7 @@
     watch(name, group, change, now);
     return;
   case Step::Asking:
-    // Nobody answered in time: this daemon's own view decides.
-    if (now - change.Since >= limits::ChoiceLimit * 2)
-      takeEvidence(name, {});
+    decide(name, group, change, now);
     return;
   case Step::Choosing:
     choose(name, group, change, now);
@@ -177,20 +211,35 @@
                   field("missing_ms", std::chrono::duration_cast<milliseconds>(
                                           now - *group.LeaderMissing)
                                           .count())});
+  change.TargetsRead = false;
+  change.Evidence.reset();
+  Port.readTargets();
   Port.askPeers(name);
 }
 
 void Succession::takeEvidence(const GroupName &name,
                               const PeerEvidence &evidence) {
-  auto *group = Targets.find(name);
   auto it = Changes.find(name);
-  if (!group || it == Changes.end() || it->second.At != Step::Asking)
-    return;
-  auto &change = it->second;
-  if (!group->LeaderMissing) {
+  if (it != Changes.end() && it->second.At == Step::Asking)
+    it->second.Evidence = evidence;
+}
+
+void Succession::takeTargetsRead() {
+  for (auto &[name, change] : Changes)
+    change.TargetsRead = true;
+}
+
+void Succession::decide(const GroupName &name, Group &group, Change &change,
+                        TimePoint now) {
+  if (!group.LeaderMissing) {
     change = {};
     return;
   }
+  bool all = change.Evidence && change.TargetsRead;
+  if (!all && now - change.Since < limits::EvidenceWait)
+    return;
+  // Nobody answered in time: this daemon's own view decides.
+  auto evidence = change.Evidence.value_or(PeerEvidence{});
   // Load: a primary that some daemons cannot reach. Harm of replacing it on
   // one daemon's word: records lost and a gap for all, for a fault of one
   // link. It is replaced when no majority of the daemons reaches it.
@@ -199,10 +248,10 @@
                    {field("group", name.Value), field("reach", evidence.Reach),
                     field("answered", evidence.Answered)});
     change = {};
-    change.NotBefore = Time.now() + limits::SuspectAfter;
+    change.NotBefore = now + limits::SuspectAfter;
     return;
   }
-  beginChoice(name, *group, change);
+  beginChoice(name, group, change);
 }
 
 void Succession::beginChoice(const GroupName &name, Group &group,
@@ -217,8 +266,8 @@
 void Succession::askStatus(const GroupName &name, Group &group,
                            Change &change) {
   for (const auto &it : group.Targets) {
-    bool candidate = it.Name != group.View.leader() && !it.Leaving;
-    if (!candidate || !change.Asked.insert(it.Name).second)
+    if (!isCandidate(group, it) || change.Heard.contains(it.Name) ||
+        !change.Asked.insert(it.Name).second)
       continue;
     Batch batch;
     batch.Statements.resize(1);
@@ -254,9 +303,15 @@
     return;
   }
   auto waited = now - change.Since;
-  bool all = change.Asked.empty();
-  if (!all && waited < limits::ChoiceLimit)
+  if (!change.Asked.empty() && waited < limits::ChoiceLimit)
     return;
+  auto candidates = static_cast<std::size_t>(std::count_if(
+      group.Targets.begin(), group.Targets.end(),
+      [&](const TargetEntry &it) { return isCandidate(group, it); }));
+  if (change.Heard.size() < candidates && waited < limits::SilentReplicaLimit) {
+    askStatus(name, group, change);
+    return;
+  }
   const TargetStatus *best = nullptr;
   TargetName chosen;
   for (const auto &[target, status] : change.Heard) {
--- a/src/proxy/succession.h
+++ b/src/proxy/succession.h
@@ -24,8 +24,15 @@
 /// A daemon that was not running for longer than this knows nothing of the
 /// present; its suspicions begin anew.
 inline constexpr milliseconds LongTick{300};
+/// Longest wait for the other daemons' word and the list of targets; a little
+/// more than the two calls may take.
+inline constexpr milliseconds EvidenceWait{400};
 /// Longest wait for the replicas' word on how much they have received.
 inline constexpr milliseconds ChoiceLimit{200};
+/// Longest wait for a replica that does not say how much it has received.
+/// Harm without it: acknowledged records that only that one has are lost for
+/// a pause of its own. Reason: one lost packet and its second try.
+inline constexpr milliseconds SilentReplicaLimit{700};
 /// Longest wait for a replica to receive what a leaving primary has.
 inline constexpr milliseconds CatchUpLimit{2'500};
 /// Between a leaving primary's notice and the choice: writes that the other
@@ -40,6 +47,11 @@
 /// No page gives the span within which two may not take turns; this one is
 /// longer than the pause in which a live holder is suspected wrongly.
 inline constexpr milliseconds DutyLease{3'000};
+/// Part of the lease during which the store must have been reached. Harm
+/// without it: a daemon that was cut from the holder and from the store takes
+/// the duty the moment the cut heals, before it has heard the holder again.
+/// Reason: twice the time between two probes of a member.
+inline constexpr milliseconds DutyConfirm{1'000};
 /// Between the steps of the daemons that may take the duty over, so that the
 /// first one's claim is seen before the next one makes its own.
 inline constexpr milliseconds DutyStagger{400};
@@ -87,6 +99,9 @@
   /// takePromoted.
   virtual void promote(const GroupName &group, const TargetName &target,
                        std::uint64_t number) = 0;
+  /// takeTargetsRead, whether the store answered or not: another holder may
+  /// have replaced the primary already.
+  virtual void readTargets() = 0;
   /// takeEvidence.
   virtual void askPeers(const GroupName &group) = 0;
 };
@@ -104,6 +119,7 @@
   void takeMembers(const std::vector<Member> &live);
   void takePromoted(const GroupName &group, CallOutcome outcome);
   void takeEvidence(const GroupName &group, const PeerEvidence &evidence);
+  void takeTargetsRead();
   void tick();
 
   bool holds() const;
@@ -121,6 +137,8 @@
     TimePoint Since{};
     TimePoint NotBefore{};
     bool Planned = false;
+    std::optional<PeerEvidence> Evidence;
+    bool TargetsRead = false;
     std::map<TargetName, TargetStatus> Heard;
     std::set<TargetName> Asked;
     std::set<TargetName> Failed; ///< Promotions that did not take.
@@ -130,12 +148,17 @@
   };
 
   void tickDuty(TimePoint now);
+  void seeHolder();
+  void forgetSuspicions();
+  void missHolder(TimePoint now);
   void claim(TimePoint now);
   void extend();
   std::optional<std::size_t> rank() const;
   void tickGroup(const GroupName &name, Group &group, TimePoint now);
   void watch(const GroupName &name, Group &group, Change &change,
              TimePoint now);
+  void decide(const GroupName &name, Group &group, Change &change,
+              TimePoint now);
   void beginChoice(const GroupName &name, Group &group, Change &change);
   void askStatus(const GroupName &name, Group &group, Change &change);
   void choose(const GroupName &name, Group &group, Change &change,
@@ -154,6 +177,8 @@
   std::uint64_t NextNumber = 0;
   std::vector<Member> Live;
   TimePoint HolderSeen{};
+  bool StoreAsked = false;               ///< Since the holder is missed.
+  std::optional<TimePoint> StoreReached; ///< And when it answered.
   TimePoint NextClaim{};
   TimePoint LastTick{};
   std::map<GroupName, Change> Changes;
