--- /dev/null
+++ b/scripts/platform-run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Runs three daemons on a stand-in of the users' platform, with a crash of the
+# primary, an outage of the store, a graceful stop and a kill; checks what
+# callers see. Usage: scripts/platform-run.sh [SECONDS [SEED]]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+preset=${PRESET:-release}
+cmake --preset "$preset" >/dev/null
+cmake --build --preset "$preset" --target peridotfalld -- --quiet
+python3 tests/platform/run.py "build/$preset/peridotfalld" "${1:-9}" "${2:-1}"
--- /dev/null
+++ b/tests/adapter/entries_test.cpp
@@ -0,0 +1,103 @@
+#include "entries.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridotfall;
+using namespace peridotfall::adapter;
+using proxy::Guarantee;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::map<DomainName, RegionName> Regions{
+    {DomainName("tartu-press"), RegionName("tartu")}};
+
+constexpr auto Entry =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"tartu-press",
+        "version":"v1","slots":2,"state":"ready","cold_ms":0,
+        "db_role":"replica","sequence":4,"born":1776000000123})";
+
+proxy::StoredObject object(std::string spec) {
+  return {"i-7f3a91c2", std::move(spec), 12, false};
+}
+
+std::string with(const char *from, const char *to) {
+  std::string out = Entry;
+  out.replace(out.find(from), std::string(from).size(), to);
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("target's entry, whole, is decoded") {
+  auto it = parseTarget(object(Entry), Regions);
+  REQUIRE(it);
+  CHECK(it.value().Name.Value == "i-7f3a91c2");
+  CHECK(it.value().Group.Value == "huvo11a");
+  CHECK(it.value().Region.Value == "tartu");
+  CHECK(it.value().Born == 1776000000123ULL);
+  CHECK(it.value().Slots == 2);
+  CHECK_FALSE(it.value().Leaving);
+  CHECK_FALSE(it.value().ClaimsPrimary);
+}
+
+TEST_CASE("target's entry, draining primary, is leaving and claims to lead") {
+  auto spec = with("\"ready\"", "\"draining\"");
+  spec.replace(spec.find("\"replica\""), 9, "\"primary\"");
+  auto it = parseTarget(object(spec), Regions);
+  REQUIRE(it);
+  CHECK(it.value().Leaving);
+  CHECK(it.value().ClaimsPrimary);
+}
+
+TEST_CASE("target's entry, damaged, names no target") {
+  for (const auto &it :
+       {std::string("not json"), std::string("[]"), std::string("null"),
+        with("\"huvo11a\"", "7"), with("10.128.0.9:8080", "nowhere"),
+        with("\"ready\"", "\"resting\""), with("\"replica\"", "\"witness\""),
+        with("1776000000123", "\"early\""), with("\"zone\"", "\"place\"")}) {
+    CAPTURE(it);
+    CHECK_FALSE(parseTarget(object(it), Regions));
+  }
+}
+
+TEST_CASE("configuration, whole, is decoded") {
+  auto it = parseRoutingTable(
+      R"({"version":7,"routes":[{"name":"r","host":"fiti","path_prefix":"/",
+          "type":"read_your_writes","timeout_ms":800,"latency_goal_ms":500,
+          "priority":2,"service":"huvo11a","max_staleness_ms":2500}],
+          "services":[{"name":"huvo11a","max_conns":16,"sync_replicas":1}],
+          "limits":{"tx_idle_ms":2000}})");
+  REQUIRE(it);
+  const auto &route = it.value().Routes.at(DatabaseName("fiti"));
+  CHECK(it.value().Version == 7);
+  CHECK(route.Reads == Guarantee::ReadYourWrites);
+  CHECK(route.StatementLimit == milliseconds(800));
+  CHECK(route.MaxStaleness == milliseconds(2'500));
+  CHECK(it.value().Groups.at(proxy::GroupName("huvo11a")) ==
+        proxy::GroupSettings{16, true});
+  CHECK(it.value().TransactionIdle == milliseconds(2'000));
+}
+
+TEST_CASE("configuration, without a version or with a bad route, is refused") {
+  CHECK_FALSE(parseRoutingTable(R"({"routes":[],"services":[]})"));
+  CHECK_FALSE(parseRoutingTable(
+      R"({"version":1,"routes":[{"host":"a"}],"services":[]})"));
+  CHECK_FALSE(parseRoutingTable(
+      R"({"version":1,"services":[],"routes":[{"host":"a","service":"b",
+          "type":"whenever"}]})"));
+}
+
+TEST_CASE("duty record and daemon, written, are read back") {
+  proxy::DutyRecord record{VmName("vm"), 7, 65, 129};
+  CHECK(parseDuty(formatDuty(record)).value() == record);
+  CHECK_FALSE(parseDuty("{}"));
+  Member member;
+  member.Vm = VmName("vm");
+  member.Domain = DomainName("press");
+  member.Region = RegionName("tartu");
+  member.InnerAddress = "10.1.0.8:7440";
+  member.Incarnation = 7;
+  CHECK(parseDaemon({"vm", formatDaemon(member), 3, false}).value() == member);
+  CHECK_FALSE(parseDaemon({"vm", "{}", 3, false}));
+}
--- /dev/null
+++ b/tests/adapter/settings_test.cpp
@@ -0,0 +1,69 @@
+#include "settings.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridotfall;
+using namespace peridotfall::adapter;
+
+namespace {
+
+const std::string Whole = R"(
+node_name: "frontend-tartu-press-1"
+ip: "10.1.0.8"
+zone: "tartu-press"
+region: "tartu"
+zones:
+  tartu-press: "tartu"
+  tallinn-desk: "tallinn"
+listen:
+  frontend: "10.1.0.8:8784"
+  readiness: "10.1.0.8:8785"
+internal_ports:
+  - 7440
+  - 7455
+bounds:
+  grace_s: 6
+platform:
+  address: "10.200.1.7:8783"
+  reads_per_s: 2000
+provider:
+  address: "10.200.0.160:8783"
+something_new: [1, 2]
+)";
+
+std::string without(const std::string &line) {
+  auto out = Whole;
+  out.erase(out.find(line), line.size());
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("settings, whole and with a field not known, are read") {
+  auto it = parseSettings(Whole);
+  REQUIRE(it);
+  CHECK(it.value().Self.Vm.Value == "frontend-tartu-press-1");
+  CHECK(it.value().InnerPort == 7'440);
+  CHECK(it.value().Callers.port() == 8'784);
+  CHECK(it.value().StopLimit == milliseconds(6'000));
+  CHECK(it.value().Regions.at(DomainName("tallinn-desk")).Value == "tallinn");
+}
+
+TEST_CASE("settings, several fields wrong, are all reported with their place") {
+  auto text = without("node_name: \"frontend-tartu-press-1\"\n");
+  text.replace(text.find("\"10.1.0.8:8784\""), 15, "\"somewhere\"");
+  text.replace(text.find("grace_s: 6"), 10, "grace_s: no");
+  auto it = parseSettings(text);
+  REQUIRE_FALSE(it);
+  std::vector<std::string> places;
+  for (const auto &finding : it.error())
+    places.push_back(finding.Place);
+  CHECK(places == std::vector<std::string>{"node_name", "listen/frontend",
+                                           "bounds/grace_s"});
+}
+
+TEST_CASE("settings, no YAML or ports missing, are refused") {
+  CHECK_FALSE(parseSettings("{"));
+  CHECK_FALSE(parseSettings("[]"));
+  CHECK_FALSE(parseSettings(without("  - 7455\n")));
+}
--- /dev/null
+++ b/tests/adapter/wire_test.cpp
@@ -0,0 +1,150 @@
+#include "wire.h"
+
+#include <doctest/doctest.h>
+
+using namespace peridotfall;
+using namespace peridotfall::adapter;
+using proxy::Answer;
+using proxy::ErrorKind;
+using proxy::Statement;
+using proxy::StatementKind;
+using proxy::TransactionState;
+
+namespace {
+
+Statement statementOf(const char *line) {
+  auto it = parseCallerMessage(line);
+  REQUIRE(it);
+  REQUIRE(std::holds_alternative<Statement>(it.value()));
+  return std::get<Statement>(it.value());
+}
+
+struct ReaderFixture {
+  AnswerReader Reader;
+
+  /// \return the answer after the last line.
+  std::optional<Answer> take(std::initializer_list<const char *> lines) {
+    std::optional<Answer> out;
+    for (const auto *it : lines) {
+      auto answer = Reader.take(it);
+      REQUIRE(answer);
+      out = answer.value();
+    }
+    return out;
+  }
+};
+
+} // namespace
+
+TEST_CASE("caller's start, names a database") {
+  auto it = parseCallerMessage("START lepu270 u3f1");
+  REQUIRE(it);
+  CHECK(std::get<StartMessage>(it.value()).Database.Value == "lepu270");
+}
+
+TEST_CASE("caller's statements, each kind, is told from its text") {
+  CHECK(statementOf("QUERY a BEGIN").Kind == StatementKind::Begin);
+  CHECK(statementOf("QUERY a BEGIN READ").Kind == StatementKind::BeginRead);
+  CHECK(statementOf("QUERY a COMMIT").Kind == StatementKind::Commit);
+  CHECK(statementOf("QUERY a ROLLBACK").Kind == StatementKind::Rollback);
+  CHECK(statementOf("QUERY a READ 1a4").Kind == StatementKind::Read);
+  CHECK(statementOf("QUERY a WRITE 1a4 x y").Kind == StatementKind::Write);
+  CHECK(statementOf("QUERY a WRITE 1a4 x y").Text == "WRITE 1a4 x y");
+  CHECK(statementOf("QUERY a CLOSE s1").Kind == StatementKind::Deallocate);
+  auto set = statementOf("QUERY a SET zone press one");
+  CHECK(set.Kind == StatementKind::Set);
+  CHECK(set.Name == "zone");
+  CHECK(set.Argument == "press one");
+  auto prepare = statementOf("QUERY a PREPARE s1 WRITE q2c");
+  CHECK(prepare.Kind == StatementKind::Prepare);
+  CHECK(prepare.Name == "s1");
+  CHECK(prepare.Body == proxy::Prepared{true, "q2c"});
+  auto execute = statementOf("QUERY a EXECUTE s1 1a4 data");
+  CHECK(execute.Kind == StatementKind::Execute);
+  CHECK(execute.Argument == "1a4 data");
+}
+
+TEST_CASE("caller's statement, not understood, has an id to answer it") {
+  for (const char *it :
+       {"QUERY a DROP x", "QUERY a BEGIN NOW", "QUERY a PREPARE s1 MAYBE q",
+        "QUERY a PREPARE s1", "QUERY a READ", "QUERY a "}) {
+    CAPTURE(it);
+    CHECK(statementOf(it).Kind == StatementKind::Unknown);
+    CHECK(statementOf(it).Id == "a");
+  }
+}
+
+TEST_CASE("caller's bytes, no message, are an error") {
+  for (const char *it : {"", "GET / HTTP/1.1", "QUERY", "START", "START  x"}) {
+    CAPTURE(it);
+    CHECK_FALSE(parseCallerMessage(it));
+  }
+}
+
+TEST_CASE("statement to a target, own and caller's, have their text") {
+  Statement begin;
+  begin.Kind = StatementKind::BeginRead;
+  begin.NotBefore = Position{3, 1207};
+  CHECK(formatStatement(begin) == "QUERY - AFTER 3.1207 BEGIN READ\r\n");
+  auto read = statementOf("QUERY 5c0e READ 1a4");
+  CHECK(formatStatement(read) == "QUERY 5c0e READ 1a4\r\n");
+  read.NotBefore = Position{3, 9};
+  CHECK(formatStatement(read) == "QUERY 5c0e AFTER 3.9 READ 1a4\r\n");
+  // No position is known yet: nothing is asked for.
+  read.NotBefore = Position{};
+  CHECK(formatStatement(read) == "QUERY 5c0e READ 1a4\r\n");
+  CHECK(formatStart("huvo11a", TargetName("i-7f")) ==
+        "START huvo11a peridotfall i-7f\r\n");
+}
+
+TEST_CASE("answer to a caller, rows or an error, end with the state") {
+  Answer answer;
+  answer.Rows = {"one"};
+  answer.Signature = "7.1f3";
+  answer.State = TransactionState::Open;
+  answer.At = Position{3, 1209};
+  CHECK(formatAnswer(answer) ==
+        "ROW one\r\nCOMPLETE 7.1f3\r\nREADY T 3.1209\r\n");
+  Answer error;
+  error.Error = proxy::StatementError{ErrorKind::Busy, "retry-after-ms=5"};
+  CHECK(formatAnswer(error) == "ERROR BUSY retry-after-ms=5\r\nREADY I -\r\n");
+}
+
+TEST_CASE_FIXTURE(ReaderFixture, "target's answer, rows, is put together") {
+  auto it = take({"ROW qhz", "ROW k", "COMPLETE 7.1f3", "READY I 3.1209"});
+  REQUIRE(it);
+  CHECK(it->Rows == std::vector<std::string>{"qhz", "k"});
+  CHECK(it->Signature == "7.1f3");
+  CHECK(it->At == Position{3, 1209});
+  CHECK(it->State == TransactionState::Idle);
+}
+
+TEST_CASE_FIXTURE(ReaderFixture, "target's errors, known and not, are kept") {
+  auto it = take({"ERROR READONLY i-7f3a91c2", "READY E 3.1209"});
+  REQUIRE(it);
+  CHECK(it->Error->Kind == ErrorKind::ReadOnly);
+  CHECK(it->State == TransactionState::Failed);
+  it = take({"ERROR ODD some text", "READY I -"});
+  CHECK(it->Error->Kind == ErrorKind::Other);
+  CHECK(it->Error->Detail == "ODD some text");
+  CHECK_FALSE(it->At);
+}
+
+TEST_CASE_FIXTURE(ReaderFixture, "target's status, is read from its row") {
+  auto it =
+      take({"ROW replica 3 3.1209 0 12 2 17", "COMPLETE -", "READY I 3.1204"});
+  REQUIRE(it->Status);
+  CHECK_FALSE(it->Status->IsPrimary);
+  CHECK(it->Status->Received == Position{3, 1209});
+}
+
+// A row of the next answer must not be taken for one of this.
+TEST_CASE_FIXTURE(ReaderFixture, "row behind the end, is not an answer") {
+  take({"COMPLETE x"});
+  CHECK_FALSE(Reader.take("ROW y"));
+}
+
+TEST_CASE_FIXTURE(ReaderFixture, "unknown state or word, is not an answer") {
+  CHECK_FALSE(Reader.take("READY X -"));
+  CHECK_FALSE(Reader.take("HELLO"));
+}
--- /dev/null
+++ b/tests/platform/run.py
@@ -0,0 +1,332 @@
+"""Runs daemons on a stand-in platform, breaks things, and checks what callers
+see: every acknowledged write is in the log exactly once, no read lacks the
+own write, nothing that was refused as not run is in the log.
+
+Usage: run.py DAEMON [SECONDS [SEED]]; DAEMON is the program's path.
+"""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+
+from store import Store, serve_http
+from targets import Group, Target
+
+STORE, PROVIDER, TARGETS, DAEMONS = 7600, 7601, 7610, 7620
+ZONES = {"press": "tartu", "depot": "tartu", "desk": "tallinn"}
+NOT_RUN = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
+CALLERS = 9
+
+SETTINGS = """
+node_name: "entry-{zone}"
+ip: "127.0.0.1"
+zone: "{zone}"
+region: "{region}"
+zones: {{press: "tartu", depot: "tartu", desk: "tallinn"}}
+listen: {{frontend: "127.0.0.1:{port}", readiness: "127.0.0.1:{ready}"}}
+internal_ports: [{inner}, {last}]
+bounds: {{grace_s: 4}}
+platform: {{address: "127.0.0.1:7600", reads_per_s: 2000}}
+provider: {{address: "127.0.0.1:7601"}}
+"""
+
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {"name": "r1", "host": "orders", "type": "primary"},
+        {
+            "name": "r2",
+            "host": "status",
+            "type": "read_your_writes",
+            "max_staleness_ms": 2500,
+        },
+        {
+            "name": "r3",
+            "host": "views",
+            "type": "bounded_staleness",
+            "max_staleness_ms": 1500,
+        },
+    ],
+    "services": [{"name": "ledger", "max_conns": 16, "sync_replicas": 0}],
+    "limits": {"tx_idle_ms": 3000},
+}
+
+
+class Failure(Exception):
+    """A connection that ended, or an answer that is an error."""
+
+    def __init__(self, code=""):
+        super().__init__(code)
+        self.code = code
+
+
+class Caller:
+    """One session at a time; each write's data is used once."""
+
+    def __init__(self, number, ports, seed):
+        self.number = number
+        self.ports = ports
+        self.random = random.Random(seed * 1000 + number)
+        self.reader = self.writer = None
+        self.database = ""
+        self.count = 0
+        self.item = f"item-{number}"
+        self.last = "-"  # Acknowledged to this caller.
+        self.unsure = set()  # Outcome unknown since then.
+        self.acknowledged = []
+        self.refused = []
+        self.stale = []
+        self.done = 0
+        self.failed = 0
+
+    async def connect(self):
+        port = self.random.choice(self.ports)
+        self.database = self.random.choice(["orders", "status", "views"])
+        self.reader, self.writer = await asyncio.open_connection(
+            "127.0.0.1", port
+        )
+        self.writer.write(f"START {self.database} c{self.number}\r\n".encode())
+        line = await self.line()
+        if not line.startswith("READY"):
+            raise Failure(line)
+
+    async def line(self):
+        raw = await asyncio.wait_for(self.reader.readline(), 5)
+        if not raw:
+            raise Failure()
+        return raw.decode().rstrip("\r\n")
+
+    async def query(self, text):
+        self.count += 1
+        self.writer.write(
+            f"QUERY c{self.number}q{self.count} {text}\r\n".encode()
+        )
+        rows, error = [], None
+        while True:
+            word, _, rest = (await self.line()).partition(" ")
+            if word == "ROW":
+                rows.append(rest)
+            elif word == "ERROR":
+                error = rest.split(" ")[0]
+            elif word == "READY":
+                break
+        if error:
+            raise Failure(error)
+        return rows
+
+    async def write(self):
+        self.count += 1
+        data = f"d{self.number}-{self.count}"
+        style = self.random.choice(["lone", "transaction", "prepared"])
+        try:
+            if style == "lone":
+                await self.query(f"WRITE {self.item} {data}")
+            elif style == "prepared":
+                await self.query("PREPARE s1 WRITE q2c")
+                await self.query(f"EXECUTE s1 {self.item} {data}")
+            else:
+                await self.query("BEGIN")
+                await self.query(f"READ {self.item}")
+                await self.query(f"WRITE {self.item} {data}")
+                await self.query("COMMIT")
+        except Failure as it:
+            if it.code in NOT_RUN:
+                self.refused.append(data)
+            else:
+                self.unsure.add(data)
+            raise
+        except (OSError, asyncio.TimeoutError):
+            self.unsure.add(data)
+            raise
+        self.acknowledged.append(data)
+        self.last = data
+
+    async def read(self):
+        rows = await self.query(f"READ {self.item}")
+        own = rows[0] == self.last or rows[0] in self.unsure
+        if self.database == "orders" and not own:
+            self.stale.append((rows[0], self.last))
+
+    async def run(self, until):
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            try:
+                await self.connect()
+                for _ in range(self.random.randint(1, 20)):
+                    await (self.write() if self.random.random() < 0.4 else self.read())
+                    self.done += 1
+                    await asyncio.sleep(self.random.uniform(0, 0.01))
+            except (Failure, OSError, asyncio.TimeoutError):
+                self.failed += 1
+                await asyncio.sleep(0.05)
+            finally:
+                if self.writer:
+                    self.writer.close()
+
+
+class World:
+    """The stand-ins and the daemons, each a process."""
+
+    def __init__(self, program, folder):
+        self.program = program
+        self.folder = folder
+        self.store = Store()
+        self.group = Group("ledger", self.store)
+        self.processes = {}
+        self.fence = 0
+
+    async def start(self):
+        await serve_http(STORE, self._store)
+        await serve_http(PROVIDER, self._provider)
+        for n, zone in enumerate(ZONES):
+            target = Target(self.group, f"i-{zone}", TARGETS + n, zone, n == 0)
+            await target.start()
+            self.group.add(target)
+        routes = [
+            dict(it, service="ledger", timeout_ms=800, latency_goal_ms=500, priority=1)
+            for it in CONFIGURATION["routes"]
+        ]
+        self.store.put("config", "main", dict(CONFIGURATION, routes=routes))
+        for zone in ZONES:
+            await self.start_daemon(zone)
+
+    async def _store(self, method, target, _, body):
+        while self.store.away:
+            await asyncio.sleep(0.05)
+        return await self.store.answer(method, target, body)
+
+    async def _provider(self, _, __, headers, body):
+        number = int(headers["x-fence-token"])
+        if number < self.fence:
+            return 409, {}
+        self.fence = number
+        return (200, {}) if await self.group.promote(body["id"]) else (409, {})
+
+    def port(self, zone):
+        return DAEMONS + 10 * list(ZONES).index(zone)
+
+    async def start_daemon(self, zone):
+        port = self.port(zone)
+        path = os.path.join(self.folder, f"{zone}.yaml")
+        with open(path, "w") as file:
+            file.write(
+                SETTINGS.format(
+                    zone=zone,
+                    region=ZONES[zone],
+                    port=port,
+                    ready=port + 1,
+                    inner=port + 2,
+                    last=port + 5,
+                )
+            )
+        log = open(os.path.join(self.folder, f"{zone}.log"), "a")
+        self.processes[zone] = await asyncio.create_subprocess_exec(
+            self.program,
+            "--on_platform",
+            env=dict(os.environ, PERIDOTFALL_CONFIG=path),
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        await self.until_ready(port + 1)
+
+    async def until_ready(self, port):
+        for _ in range(200):
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"GET /peridotfall/ready HTTP/1.1\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                if b" 200 " in line:
+                    return
+            except OSError:
+                pass  # Not listening yet.
+            await asyncio.sleep(0.05)
+        raise RuntimeError("a daemon does not get ready")
+
+    async def stop_daemon(self, zone, how):
+        process = self.processes.pop(zone)
+        process.send_signal(how)
+        return await asyncio.wait_for(process.wait(), 10)
+
+
+async def trouble(world, seconds):
+    """Each fault once, in turn."""
+    step = seconds / 6
+    await asyncio.sleep(step)
+    world.group.targets["i-press"].crash()
+    world.store.delete("servers", "i-press")
+    await asyncio.sleep(step)
+    old = world.group.targets["i-press"]
+    old.log = list(max(world.group.targets.values(), key=lambda t: t.position).log)
+    await old.start()
+    world.group.announce(old)
+    world.store.away = True
+    await asyncio.sleep(step)
+    world.store.away = False
+    status = await world.stop_daemon("depot", signal.SIGTERM)
+    if status != 0:
+        raise RuntimeError(f"a stopped daemon exited with {status}")
+    await world.start_daemon("depot")
+    await asyncio.sleep(step / 2)
+    await world.stop_daemon("desk", signal.SIGKILL)
+    await world.start_daemon("desk")
+
+
+def findings(world, callers):
+    log = max(world.group.targets.values(), key=lambda t: t.position).log
+    counts = {}
+    for _, _, _, data in log:
+        counts[data] = counts.get(data, 0) + 1
+    out = []
+    for it in callers:
+        out += [f"lost: {d}" for d in it.acknowledged if d not in counts]
+        out += [f"kept though refused: {d}" for d in it.refused if d in counts]
+        out += [f"old read: {r}, acknowledged {a}" for r, a in it.stale]
+    out += [f"twice: {d}" for d, n in counts.items() if n > 1]
+    return out
+
+
+async def main(program, seconds, seed):
+    loop = asyncio.get_running_loop()
+    with tempfile.TemporaryDirectory() as folder:
+        world = World(program, folder)
+        ports = [world.port(zone) for zone in ZONES]
+        callers = [Caller(n, ports, seed) for n in range(CALLERS)]
+        try:
+            await world.start()
+            until = loop.time() + seconds
+            await asyncio.gather(
+                trouble(world, seconds), *(it.run(until) for it in callers)
+            )
+        finally:
+            for process in world.processes.values():
+                process.kill()
+        wrong = findings(world, callers)
+        if wrong:
+            for zone in ZONES:
+                with open(os.path.join(folder, f"{zone}.log")) as file:
+                    print(file.read())
+    served = sum(it.done for it in callers)
+    acknowledged = sum(len(it.acknowledged) for it in callers)
+    print(
+        f"seed {seed}: {served} operations served, {acknowledged} writes "
+        f"acknowledged, {sum(it.failed for it in callers)} sessions failed, "
+        f"term {world.group.term}"
+    )
+    for it in wrong:
+        print(it)
+    changed = world.group.term > 1
+    if not changed:
+        print("the primary was not replaced")
+    return 0 if served and changed and not wrong else 1
+
+
+if __name__ == "__main__":
+    arguments = sys.argv[1:]
+    run_seconds = float(arguments[1]) if len(arguments) > 1 else 9
+    run_seed = int(arguments[2]) if len(arguments) > 2 else 1
+    sys.exit(asyncio.run(main(arguments[0], run_seconds, run_seed)))
