--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -11,9 +11,9 @@
 
 Mirror::Mirror(std::string kind, ObjectSource &source, const Clock &clock,
                platform::BackoffOptions backoff, std::uint64_t seed,
-               bool keepWhileAway)
+               bool keepWhileAway, milliseconds watchWait)
     : Kind(std::move(kind)), Source(source), Time(clock), Pause(backoff, seed),
-      KeepWhileAway(keepWhileAway) {}
+      KeepWhileAway(keepWhileAway), WatchWait(watchWait) {}
 
 void Mirror::start() { refresh(); }
 
@@ -94,7 +94,7 @@
 }
 
 void Mirror::watchOn() {
-  Source.watch(Kind, Revision, limits::WatchWait,
+  Source.watch(Kind, Revision, Current ? WatchWait : limits::LostWatchWait,
                [this, round = Round](const ObjectChanges &changes) {
                  if (round == Round)
                    takeChanges(changes);
@@ -154,6 +154,8 @@
                    {field("kind", Kind), field("failures", failures)});
     if (KeepWhileAway)
       GraceUntil = Time.now() + limits::ReturnGrace;
+    if (OnRegained)
+      OnRegained();
   }
   EverCurrent = true;
 }
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -24,9 +24,15 @@
 
 namespace limits {
 
-/// How long a watch may wait for a change. Longer ones cost fewer calls; a
-/// watch that has silently died is noticed only when it is over.
+/// How long a watch may wait for a change. Longer ones cost fewer calls; one
+/// whose answer was lost in an outage is noticed only when it is over.
 inline constexpr milliseconds WatchWait{8'000};
+/// The same of the one kind by which an outage is noticed, for all kinds.
+/// Reason: with a second try it is over 3.4 s after the outage's end, when a
+/// configuration that was accepted then must soon be in force.
+inline constexpr milliseconds SentinelWait{2'500};
+/// The same while the store is lost: a watch sent into the outage hangs.
+inline constexpr milliseconds LostWatchWait{1'000};
 /// Longest wait for a list. A slow store answers within a quarter of it.
 inline constexpr milliseconds ListLimit{1'500};
 /// After this long without an answer another list is asked for beside it, so
@@ -87,8 +93,10 @@
   /// store are kept until its writers had time to come back.
   Mirror(std::string kind, ObjectSource &source, const Clock &clock,
          platform::BackoffOptions backoff, std::uint64_t seed,
-         bool keepWhileAway);
+         bool keepWhileAway, milliseconds watchWait = limits::WatchWait);
 
+  /// Called when the store answers again after it was lost.
+  std::function<void()> OnRegained;
   /// Called whenever the copy has changed.
   std::function<void(const Objects &)> OnChange;
 
@@ -127,6 +135,7 @@
   const Clock &Time;
   platform::Backoff Pause;
   bool KeepWhileAway;
+  milliseconds WatchWait;
   Objects Copy;
   unsigned Tries = 0; ///< Lists under way.
   std::uint64_t Revision = 0;
--- a/tests/proxy/mirror_test.cpp
+++ b/tests/proxy/mirror_test.cpp
@@ -14,9 +14,10 @@
     After.push_back(after);
     Lists.push_back(std::move(done));
   }
-  void watch(const std::string &, std::uint64_t revision, milliseconds,
+  void watch(const std::string &, std::uint64_t revision, milliseconds wait,
              OnChanges done) override {
     WatchedFrom = revision;
+    Wait = wait;
     Watch = std::move(done);
   }
 
@@ -24,6 +25,7 @@
   std::vector<OnPage> Lists;
   OnChanges Watch;
   std::uint64_t WatchedFrom = 0;
+  milliseconds Wait{};
 };
 
 struct MirrorFixture {
@@ -128,3 +130,21 @@
   pass(std::chrono::seconds(20));
   CHECK(Source.Lists.size() == limits::MostLists);
 }
+
+// Requests are handled by an old configuration, seconds after the store is
+// back. A watch that is sent into the outage is never answered; so it may
+// wait only for a short time while the store is lost.
+TEST_CASE_FIXTURE(MirrorFixture,
+                  "watch while the store is lost, waits for a short time") {
+  Source.Lists[0](page({object("a", 3)}, 10));
+  CHECK(Source.Wait == limits::WatchWait);
+  unsigned regained = 0;
+  Copy.OnRegained = [&] { ++regained; };
+  Source.Watch({});
+  pass(milliseconds(500));
+  CHECK(Source.Wait == limits::LostWatchWait);
+  CHECK(regained == 0);
+  Source.Watch(page({}, 10));
+  CHECK(regained == 1);
+  CHECK(Source.Wait == limits::WatchWait);
+}
