Hand on to daemons that lost the store what others have read

Change: while a kind's store calls fail, one random daemon is asked for its copy every half second; a newer one is believed, an older one never.

--- /dev/null
+++ b/src/proxy/copies.cpp
@@ -0,0 +1,72 @@
+#include "proxy/copies.h"
+
+#include "messages/copy.h"
+#include "telemetry/events.h"
+
+namespace peridotfall::proxy {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusBad = 400;
+
+} // namespace
+
+void Copies::takeMembers(const VmName &self, const std::vector<Member> &live) {
+  Addresses.clear();
+  for (const auto &it : live)
+    if (it.Vm != self && !it.InnerAddress.empty())
+      Addresses.push_back(it.InnerAddress);
+}
+
+void Copies::tick() {
+  auto now = Time.now();
+  if (now < NextAsk || Addresses.empty())
+    return;
+  NextAsk = now + limits::CopyPause;
+  for (auto *it : Mirrors)
+    if (!it->isCurrent())
+      ask(*it);
+}
+
+/// Load: an outage that turns a part of the daemons away. Harm: they go on by
+/// an old configuration and old targets while the others know better. One
+/// random daemon is asked at a time, which spreads news over any number.
+void Copies::ask(Mirror &mirror) {
+  std::uniform_int_distribution<std::size_t> pick(0, Addresses.size() - 1);
+  auto body =
+      messages::encode(messages::CopyRequest{mirror.kind(), mirror.revision()});
+  auto take = [&mirror](const http::CallResult &result) {
+    if (!result || result.value().Status != StatusOk)
+      return;
+    auto copy = messages::decodeCopyAnswer(result.value().Body);
+    if (copy && mirror.takeCopy(copy.value().Objects, copy.value().Revision))
+      telemetry::log(
+          telemetry::Event::CopyTaken,
+          {telemetry::field("kind", mirror.kind()),
+           telemetry::field("revision", copy.value().Revision),
+           telemetry::field("objects", copy.value().Objects.size())});
+  };
+  Links.call(Addresses[pick(Random)], messages::CopyPath, std::move(body),
+             limits::CopyLimit, take);
+}
+
+bool Copies::handle(const http::Request &request,
+                    const http::Respond &respond) {
+  if (request.Path != messages::CopyPath)
+    return false;
+  auto message = messages::decodeCopyRequest(request.Body);
+  if (!message) {
+    respond({StatusBad, {}, message.error().Message});
+    return true;
+  }
+  messages::CopyAnswer out;
+  for (const auto *it : Mirrors)
+    if (it->kind() == message.value().Kind &&
+        it->revision() > message.value().NewerThan)
+      out = {it->revision(), it->objects()};
+  respond({StatusOk, {}, messages::encode(out)});
+  return true;
+}
+
+} // namespace peridotfall::proxy
--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -88,6 +88,16 @@
   watchOn();
 }
 
+bool Mirror::takeCopy(const Objects &objects, std::uint64_t revision) {
+  if (Current || revision <= Revision)
+    return false;
+  Copy = objects;
+  Vanished.clear();
+  Revision = revision;
+  publish();
+  return true;
+}
+
 void Mirror::endRefresh() {
   for (auto &it : std::exchange(Refreshed, {}))
     it();
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -108,6 +108,12 @@
   /// \return whether the store answered last.
   bool isCurrent() const { return Current; }
   const std::string &kind() const { return Kind; }
+  const Objects &objects() const { return Copy; }
+  /// \return the store's revision that the copy is of.
+  std::uint64_t revision() const { return Revision; }
+  /// Takes another daemon's copy, while the store does not answer.
+  /// \return whether it was newer than this one.
+  bool takeCopy(const Objects &objects, std::uint64_t revision);
 
 private:
   /// One list, page after page.
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -96,8 +96,8 @@
 std::mutex LimiterLock;
 
 LineLimiter &limiter() {
-  static LineLimiter It(allEvents().size());
-  return It;
+  static LineLimiter it(allEvents().size());
+  return it;
 }
 
 std::string lineOf(const EventInfo &info, std::initializer_list<Field> fields) {
--- a/tests/proxy/mirror_test.cpp
+++ b/tests/proxy/mirror_test.cpp
@@ -148,3 +148,17 @@
   CHECK(regained == 1);
   CHECK(Source.Wait == limits::WatchWait);
 }
+
+// A daemon that the store turns away goes on by an old configuration. What
+// another daemon has read is newer; what is older is never taken back.
+TEST_CASE_FIXTURE(MirrorFixture,
+                  "copy of another daemon, store lost, newer one is taken") {
+  Source.Lists[0](page({object("a", 3)}, 10));
+  Objects newer{{"a", object("a", 12)}};
+  CHECK_FALSE(Copy.takeCopy(newer, 12));
+  Source.Watch({});
+  CHECK_FALSE(Copy.takeCopy({}, 9));
+  CHECK(Copy.takeCopy(newer, 12));
+  CHECK(Seen.at("a").Revision == 12);
+  CHECK_FALSE(Copy.takeCopy({}, 12));
+}
