Count and log what decides a request, and serve it on the metrics port

Cause: on-call engineers have only logs and metrics; the platform's daemon had seven bare counters, and a request could not be followed to the daemon that held its connection. Change: prometheus-cpp metrics by route, outcome, reason and target role; a line for each retry, refusal, failure passed on, unknown outcome and lost connection with the request's id at the daemon where it happened, and one in 64 successes by id.

--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -380,6 +380,18 @@
   }
 }
 
+PoolStats Groups::poolStats() const {
+  PoolStats out;
+  for (const auto &[name, it] : Pools) {
+    auto stats = it->stats();
+    out.Open += stats.Open;
+    out.Opening += stats.Opening;
+    out.Idle += stats.Idle;
+    out.Waiting += stats.Waiting;
+  }
+  return out;
+}
+
 void Groups::tick() {
   auto now = Time.now();
   for (auto &[name, it] : Pools)
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -116,6 +116,8 @@
   /// Called whenever a group's leader becomes known.
   std::function<void(const GroupName &)> OnLeader;
   void tick();
+  /// \return the sums over all targets.
+  PoolStats poolStats() const;
 
   /// Runs \p action on the pools that may hold the target's connections.
   template <class Action>
--- /dev/null
+++ b/src/proxy/metrics.cpp
@@ -0,0 +1,125 @@
+#include "proxy/metrics.h"
+
+#include "telemetry/metrics.h"
+
+namespace peridotfall::proxy {
+
+namespace {
+
+constexpr std::array<const char *, Guarantees> RouteNames{
+    "primary", "bounded_staleness", "read_your_writes"};
+constexpr std::array<const char *, StatementOutcomes> OutcomeNames{
+    "served", "target_error", "not_run", "unknown"};
+
+/// Seconds. From a local read of a few milliseconds to the longest limit of a
+/// statement; a change of primary shows between 0.5 and 2.5.
+prometheus::Histogram::BucketBoundaries buckets() {
+  return {0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
+          0.3,   0.5,   0.8,  1.2,  2.5,  5.0};
+}
+
+prometheus::Family<prometheus::Counter> &
+counters(prometheus::Registry &to, const char *name, const char *help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(to);
+}
+
+prometheus::Family<prometheus::Histogram> &
+histograms(prometheus::Registry &to, const char *name, const char *help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(to);
+}
+
+double secondsOf(Duration it) {
+  return std::chrono::duration<double>(it).count();
+}
+
+} // namespace
+
+ProxyMetrics makeProxyMetrics() {
+  ProxyMetrics it;
+  it.Registry = std::make_unique<prometheus::Registry>();
+  auto &to = *it.Registry;
+  auto &statements =
+      counters(to, "peridotfall_statements_total",
+               "Callers' statements that a target was needed for, by the "
+               "route's guarantee and outcome.");
+  auto &seconds =
+      histograms(to, "peridotfall_statement_duration_seconds",
+                 "Time from a statement's arrival to its answer, by route.");
+  for (std::size_t route = 0; route < Guarantees; ++route) {
+    it.StatementSeconds[route] =
+        &seconds.Add({{"route", RouteNames[route]}}, buckets());
+    for (std::size_t n = 0; n < StatementOutcomes; ++n)
+      it.Statements[route][n] = &statements.Add(
+          {{"route", RouteNames[route]}, {"outcome", OutcomeNames[n]}});
+  }
+  it.Refusals =
+      &counters(to, "peridotfall_refusals_total",
+                "Statements given up on that did not run, by reason.");
+  it.Retries =
+      &counters(to, "peridotfall_retries_total",
+                "Tries after the first, by why the one before failed.");
+  auto &reads = counters(to, "peridotfall_reads_total",
+                         "Reads that ran, by the target's role.");
+  it.ReplicaReads = &reads.Add({{"served_by", "replica"}});
+  it.PrimaryReads = &reads.Add({{"served_by", "primary"}});
+  it.WaitSeconds =
+      &histograms(to, "peridotfall_refused_wait_seconds",
+                  "Time that a statement had waited when it was refused.")
+           .Add({}, buckets());
+  it.Promotions = &counters(to, "peridotfall_promotions_total",
+                            "Promotions that this daemon decided.")
+                       .Add({});
+  it.RecordsLacked =
+      &counters(to, "peridotfall_promotion_records_lacked_total",
+                "Records of the last known head that promoted replicas had "
+                "not received.")
+           .Add({});
+  it.StoreAnswers = &counters(
+      to, "peridotfall_store_calls_total",
+      "Reads of the platform's store, by kind and whether it answered.");
+  it.Now = &prometheus::BuildGauge()
+                .Name("peridotfall_now")
+                .Help("Present values; the label says of what.")
+                .Register(to);
+  return it;
+}
+
+void countStatement(ProxyMetrics &it, Guarantee route, StatementOutcome outcome,
+                    Duration took) {
+  auto n = static_cast<std::size_t>(route);
+  it.Statements[n][static_cast<std::size_t>(outcome)]->Increment();
+  it.StatementSeconds[n]->Observe(secondsOf(took));
+}
+
+void countRefusal(ProxyMetrics &it, const std::string &why, Duration waited) {
+  it.Refusals->Add({{"reason", why}}).Increment();
+  it.WaitSeconds->Observe(secondsOf(waited));
+}
+
+void countRetry(ProxyMetrics &it, const std::string &why) {
+  it.Retries->Add({{"reason", why}}).Increment();
+}
+
+void countStoreAnswer(ProxyMetrics &it, const std::string &kind,
+                      bool answered) {
+  it.StoreAnswers->Add({{"kind", kind}, {"answered", answered ? "yes" : "no"}})
+      .Increment();
+}
+
+std::string writeText(ProxyMetrics &it, const ProxyGauges &now) {
+  auto set = [&](const char *what, double value) {
+    it.Now->Add({{"of", what}}).Set(value);
+  };
+  set("sessions", static_cast<double>(now.Sessions));
+  set("target_connections_open", static_cast<double>(now.ConnectionsOpen));
+  set("target_connections_idle", static_cast<double>(now.ConnectionsIdle));
+  set("waiting_for_connection", static_cast<double>(now.Waiting));
+  set("daemons_alive", static_cast<double>(now.Members));
+  set("configuration_version", static_cast<double>(now.Version));
+  set("holds_failover_duty", now.HoldsDuty ? 1 : 0);
+  set("store_kinds_lost", static_cast<double>(now.KindsLost));
+  set("log_lines_dropped", static_cast<double>(now.DroppedLines));
+  return telemetry::writeText(*it.Registry);
+}
+
+} // namespace peridotfall::proxy
--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -143,6 +143,8 @@
 }
 
 void Mirror::lost() {
+  if (OnAnswer)
+    OnAnswer(false);
   if (Current || Pause.failures() == 0)
     telemetry::log(Event::StoreLost, {field("kind", Kind)});
   Current = false;
@@ -154,6 +156,8 @@
 /// Harm: on its return no target is known, and everything is refused. The
 /// writers come back within a known time; an entry missing after it is gone.
 void Mirror::regained() {
+  if (OnAnswer)
+    OnAnswer(true);
   auto failures = Pause.failures();
   Pause.succeeded();
   if (Current)
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -97,6 +97,8 @@
 
   /// Called when the store answers again after it was lost.
   std::function<void()> OnRegained;
+  /// Called after each call, with whether the store answered.
+  std::function<void(bool)> OnAnswer;
   /// Called whenever the copy has changed.
   std::function<void(const Objects &)> OnChange;
 
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -1,6 +1,7 @@
 #include "proxy/sessions.h"
 
 #include "telemetry/events.h"
+#include "telemetry/line_limiter.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -91,8 +92,9 @@
 
 } // namespace
 
-Sessions::Sessions(Groups &groups, CallerPort &port, const Clock &clock)
-    : Targets(groups), Port(port), Time(clock) {
+Sessions::Sessions(Groups &groups, CallerPort &port, ProxyMetrics &metrics,
+                   const Clock &clock)
+    : Targets(groups), Port(port), Counts(metrics), Time(clock) {
   Targets.OnLeader = [this](const GroupName &group) { resume(group); };
 }
 
@@ -549,9 +551,10 @@
     if (writes(unit.It) && answer.ok() && answer.At)
       session.Own = std::max(session.Own, *answer.At);
   }
-  if (reads(unit.It))
-    ++(unit.Sent.Statements[0].NotBefore ? Counts.ReplicaReads
-                                         : Counts.PrimaryReads);
+  if (reads(unit.It) && answer.ok())
+    (unit.Sent.Statements[0].NotBefore ? Counts.ReplicaReads
+                                       : Counts.PrimaryReads)
+        ->Increment();
   deliver(session, std::move(answer));
 }
 
@@ -629,7 +632,11 @@
 void Sessions::retry(Session &session, ErrorKind why) {
   auto &unit = *session.Current;
   auto now = Time.now();
-  ++Counts.Retried;
+  countRetry(Counts, nameOf(why));
+  telemetry::log(Event::StatementRetried,
+                 {field("request", unit.It.Id),
+                  field("target", unit.Target.Value), field("why", nameOf(why)),
+                  field("tries", unit.Tries)});
   unit.Avoid = unit.Target;
   if (now + limits::LeastTry >= unit.Until || unit.Tries >= limits::MostTries) {
     refuse(session,
@@ -648,6 +655,12 @@
 
 void Sessions::deliver(Session &session, Answer answer) {
   auto id = session.Id;
+  const auto &unit = *session.Current;
+  countStatement(Counts, unit.Served.Reads,
+                 answer.ok() ? StatementOutcome::Served
+                             : StatementOutcome::TargetError,
+                 Time.now() - unit.Began);
+  logServed(session, answer);
   session.State = answer.State;
   session.Current.reset();
   session.Active = Time.now();
@@ -655,12 +668,28 @@
     dropLease(session.Open.Lease);
     session.Open = {};
   }
-  if (answer.ok())
-    ++Counts.Served;
   Port.answer(id, answer);
   advance(session);
 }
 
+/// Failures that the target named are all logged, successes by sample.
+void Sessions::logServed(const Session &session, const Answer &answer) const {
+  const auto &unit = *session.Current;
+  if (answer.ok() && !telemetry::isSampled(unit.It.Id))
+    return;
+  auto least = unit.Sent.Statements[0].NotBefore;
+  telemetry::log(
+      answer.ok() ? Event::StatementServed : Event::StatementFailed,
+      {field("request", unit.It.Id), field("database", session.Database.Value),
+       field("target", unit.Target.Value), field("tries", unit.Tries),
+       field("not_before",
+             least ? fmt::format("{}.{}", least->InTerm, least->Index) : "-"),
+       field("answer", answer.ok() ? "ok" : nameOf(answer.Error->Kind)),
+       field("took_ms",
+             std::chrono::duration_cast<milliseconds>(Time.now() - unit.Began)
+                 .count())});
+}
+
 void Sessions::answerDone(Session &session) {
   Answer answer;
   answer.Signature = "-";
@@ -688,7 +717,9 @@
 void Sessions::refuse(Session &session, milliseconds retryAfter,
                       const char *why) {
   auto &unit = *session.Current;
-  ++Counts.Refused;
+  countStatement(Counts, unit.Served.Reads, StatementOutcome::NotRun,
+                 Time.now() - unit.Began);
+  countRefusal(Counts, why, Time.now() - unit.Began);
   telemetry::log(
       Event::StatementRefused,
       {field("request", unit.It.Id), field("database", session.Database.Value),
@@ -708,7 +739,8 @@
 
 void Sessions::giveUpLost(Session &session, const char *why) {
   auto &unit = *session.Current;
-  ++Counts.InDoubt;
+  countStatement(Counts, unit.Served.Reads, StatementOutcome::Unknown,
+                 Time.now() - unit.Began);
   telemetry::log(Event::OutcomeUnknown,
                  {field("request", unit.It.Id),
                   field("database", session.Database.Value),
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -7,6 +7,7 @@
 
 #include "peridotfall/retry_budget.h"
 #include "proxy/groups.h"
+#include "proxy/metrics.h"
 
 #include <deque>
 #include <map>
@@ -65,21 +66,11 @@
   virtual void close(CallerId caller) = 0;
 };
 
-struct SessionStats {
-  std::uint64_t Served = 0;
-  std::uint64_t Refused = 0; ///< Not run.
-  std::uint64_t InDoubt = 0; ///< Outcome unknown.
-  std::uint64_t Retried = 0;
-  std::uint64_t ReplicaReads = 0;
-  std::uint64_t PrimaryReads = 0;
-
-  auto operator<=>(const SessionStats &) const = default;
-};
-
 /// Not synchronised.
 class Sessions {
 public:
-  Sessions(Groups &groups, CallerPort &port, const Clock &clock);
+  Sessions(Groups &groups, CallerPort &port, ProxyMetrics &metrics,
+           const Clock &clock);
 
   void takeRoutes(const RoutingTable &table);
   const RoutingTable &routes() const { return Table; }
@@ -94,7 +85,6 @@
   void stop(TimePoint transactionsUntil);
 
   std::size_t open() const { return All.size(); }
-  const SessionStats &stats() const { return Counts; }
 
 private:
   struct Transaction {
@@ -173,15 +163,16 @@
   void giveUpLost(Session &session, const char *why);
   void dropLease(LeaseId lease);
   template <class Then> OnBatch guarded(const Session &session, Then then);
+  void logServed(const Session &session, const Answer &answer) const;
   void tickSession(Session &session, TimePoint now);
 
   Groups &Targets;
   CallerPort &Port;
+  ProxyMetrics &Counts;
   const Clock &Time;
   RoutingTable Table;
   std::map<CallerId, Session> All;
   std::uint64_t LastSerial = 0;
-  SessionStats Counts;
   std::optional<TimePoint> StoppingSince;
   TimePoint TransactionsUntil{};
 };
--- a/src/proxy/succession.cpp
+++ b/src/proxy/succession.cpp
@@ -18,9 +18,11 @@
 } // namespace
 
 Succession::Succession(Place self, std::uint64_t incarnation, Groups &groups,
-                       SuccessionPort &port, const Clock &clock)
+                       SuccessionPort &port, ProxyMetrics &metrics,
+                       const Clock &clock)
     : Self(std::move(self)), Incarnation(incarnation), Targets(groups),
-      Port(port), Time(clock), HolderSeen(clock.now()), LastTick(clock.now()) {}
+      Port(port), Counts(metrics), Time(clock), HolderSeen(clock.now()),
+      LastTick(clock.now()) {}
 
 bool Succession::holds() const {
   return Record && Record->Holder == Self.Vm &&
@@ -345,6 +347,8 @@
     change.NotBefore = now + limits::PromotionPause;
     return;
   }
+  Counts.Promotions->Increment();
+  Counts.RecordsLacked->Increment(static_cast<double>(lacks));
   change.Chosen = chosen;
   change.Number = NextNumber++;
   change.Calls = 0;
--- a/src/proxy/succession.h
+++ b/src/proxy/succession.h
@@ -7,6 +7,7 @@
 
 #include "peridotfall/membership.h"
 #include "proxy/groups.h"
+#include "proxy/metrics.h"
 
 #include <map>
 #include <optional>
@@ -110,7 +111,7 @@
 class Succession {
 public:
   Succession(Place self, std::uint64_t incarnation, Groups &groups,
-             SuccessionPort &port, const Clock &clock);
+             SuccessionPort &port, ProxyMetrics &metrics, const Clock &clock);
 
   /// \param record nothing: there is none.
   void takeRecord(const std::optional<DutyRecord> &record,
@@ -169,6 +170,7 @@
   std::uint64_t Incarnation;
   Groups &Targets;
   SuccessionPort &Port;
+  ProxyMetrics &Counts;
   const Clock &Time;
   std::optional<DutyRecord> Record;
   std::uint64_t Revision = 0;
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -1,10 +1,15 @@
 #include "proxy/target_pool.h"
 
+#include "telemetry/events.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace peridotfall::proxy {
 
+using telemetry::Event;
+using telemetry::field;
+
 namespace {
 
 /// \return whether a success of the statement carries the target's signature.
@@ -163,6 +168,8 @@
     return;
   it->second.State = Phase::Idle;
   it->second.Since = Time.now();
+  if (Failing)
+    telemetry::log(Event::TargetReached, {field("target", Target.Name.Value)});
   Failing = false;
   assign();
 }
@@ -176,6 +183,10 @@
     return;
   }
   OpenAfter = now + limits::RefusedPause;
+  if (!Failing)
+    telemetry::log(Event::TargetLost,
+                   {field("target", Target.Name.Value),
+                    field("why", why ? why->Detail : "no connection")});
   Failing = true;
   bool anyOpen =
       std::any_of(Connections.begin(), Connections.end(), [](const auto &it) {
@@ -266,6 +277,7 @@
   Port.close(id);
   if (!connection.Current || !connection.Current->Done)
     return;
+  logLost(*connection.Current, why);
   auto &running = *connection.Current;
   running.Result.End = BatchEnd::Lost;
   running.Result.Why = {ErrorKind::InDoubt, why};
@@ -273,6 +285,17 @@
   running.Done(std::move(running.Result));
 }
 
+void TargetPool::logLost(const Running &running, const char *why) const {
+  std::string request;
+  for (const auto &it : running.Work.Statements)
+    if (!it.Id.empty())
+      request = it.Id;
+  telemetry::log(Event::ConnectionLost,
+                 {field("request", request), field("target", Target.Name.Value),
+                  field("why", why),
+                  field("answers", running.Result.Answers.size())});
+}
+
 void TargetPool::closed(ConnectionId connection) {
   auto it = Connections.find(connection);
   if (it == Connections.end())
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -131,6 +131,7 @@
   void rollBack(ConnectionIt it);
   /// Ends the batch as lost and forgets the connection.
   void lose(ConnectionIt it, const char *why);
+  void logLost(const Running &running, const char *why) const;
   void closeIdle();
   void refuse(Waiter &waiter, const char *why);
   void refuseWaiting(const char *why);
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -177,8 +177,10 @@
   it.FailoverGapSeconds->Observe(secondsOf(gap));
 }
 
-std::string writeText(const Metrics &it) {
-  auto families = it.Registry->Collect();
+std::string writeText(const Metrics &it) { return writeText(*it.Registry); }
+
+std::string writeText(const prometheus::Registry &registry) {
+  auto families = registry.Collect();
   addEvents(families);
   std::ostringstream out;
   prometheus::TextSerializer().Serialize(out, families);
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -71,6 +71,8 @@
 /// Counts of events, broken invariants by number among them, are taken from
 /// the log. \return the Prometheus text format.
 std::string writeText(const Metrics &it);
+/// The same of any registry.
+std::string writeText(const prometheus::Registry &registry);
 Stats readStats(const Metrics &it);
 
 } // namespace peridotfall::telemetry
--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -86,7 +86,8 @@
              Links,
              Elsewhere,
              Time};
-  Sessions Callers{All, Side, Time};
+  ProxyMetrics Counts = makeProxyMetrics();
+  Sessions Callers{All, Side, Counts, Time};
   TargetList Entries;
   Position Head{InTerm, 100};
   std::uint64_t LastCaller = 0;
--- a/tests/proxy/succession_test.cpp
+++ b/tests/proxy/succession_test.cpp
@@ -44,6 +44,7 @@
                   Incarnation,
                   All,
                   Calls,
+                  Counts,
                   Time};
   bool PrimaryAnswers = true;
   std::map<std::string, Position> Received{{"r", {InTerm, 90}},
