Tell a request's story from all daemons' logs

peridotfall explain REQUEST LOG... prints the request's lines and the changes of belief about its target and group around them, in order of time. Tests follow a refused write, a write of unknown outcome and a read refused for its age from the id to the cause by the log lines alone.

--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -139,7 +139,7 @@
     admitted = limiter().admit(place, now);
   }
   writeLeftOut(leftOut);
-  if (admitted)
+  if (admitted || hasLineSink())
     writeLine(lineOf(info, fields));
 }
 
--- a/src/telemetry/log_writer.cpp
+++ b/src/telemetry/log_writer.cpp
@@ -64,6 +64,11 @@
   Sink = std::move(sink);
 }
 
+bool hasLineSink() {
+  std::lock_guard guard(Lock);
+  return static_cast<bool>(Sink);
+}
+
 std::uint64_t droppedLines() {
   std::lock_guard guard(Lock);
   return Current.Pool ? Current.Pool->overrun_counter() : 0;
--- a/src/telemetry/log_writer.h
+++ b/src/telemetry/log_writer.h
@@ -22,6 +22,8 @@
 /// Gives lines to \p sink in place of standard output; for tests. Empty: back
 /// to standard output.
 void setLineSink(std::function<void(const std::string &)> sink);
+/// \return whether lines go to a sink; then none is left out.
+bool hasLineSink();
 /// \return how many lines were dropped because nobody read them.
 std::uint64_t droppedLines();
 /// Lets what waits be written, for a short time at most. Nothing is written
--- a/src/tool/commands.h
+++ b/src/tool/commands.h
@@ -62,7 +62,7 @@
 int runStatus(const ToolOptions &options, const Words &words);
 /// drain VM, undrain VM
 int runDrain(const ToolOptions &options, const Words &words, bool drained);
-/// explain PFnnnn
+/// explain PFnnnn, or explain REQUEST FILE...
 int runExplain(const Words &words);
 
 } // namespace peridotfall::tool
--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -39,6 +39,7 @@
     "  drain VM, undrain VM          take out of use, or back\n"
     "  sql DATABASE STATEMENT [PARAMETER...]\n"
     "  explain PFnnnn                what an event means\n"
+    "  explain REQUEST LOG...        a request over all daemons' logs\n"
     "\n"
     "flags\n"
     "  --platform=ADDRESS     the platform's object API "
--- /dev/null
+++ b/tests/proxy/logs_test.cpp
@@ -0,0 +1,108 @@
+#include "fixture.h"
+
+#include "telemetry/log_writer.h"
+#include "tool/story.h"
+
+using namespace peridotfall;
+using namespace peridotfall::proxy;
+
+namespace {
+
+/// Reads the log's lines as they are written, and nothing else.
+struct LogFixture : ProxyFixture {
+  std::vector<tool::LogLine> Lines;
+
+  LogFixture() {
+    telemetry::setLineSink([this](const std::string &line) {
+      if (auto it = tool::parseLogLine(line, "vm"))
+        Lines.push_back(*it);
+    });
+  }
+  ~LogFixture() { telemetry::setLineSink(nullptr); }
+  LogFixture(const LogFixture &) = delete;
+  LogFixture &operator=(const LogFixture &) = delete;
+
+  std::vector<std::string> story(const char *request) const {
+    std::vector<std::string> out;
+    for (const auto &it : tool::storyOf(request, Lines)) {
+      auto why = it.Fields.find("why");
+      out.push_back(it.Event +
+                    (why == it.Fields.end() ? "" : " " + why->second));
+    }
+    return out;
+  }
+};
+
+} // namespace
+
+// A caller is refused under load. Its statement waits for a connection while
+// other sessions' transactions hold all of them.
+TEST_CASE_FIXTURE(
+    LogFixture, "write refused under load, its lines say what it waited for") {
+  for (unsigned n = 0; n < 16; ++n) {
+    auto other = session("orders");
+    send(other, StatementKind::Begin);
+    send(other, StatementKind::Write, "WRITE a x");
+    serve("p", TransactionState::Open);
+  }
+  auto caller = session("orders");
+  Statement it;
+  it.Kind = StatementKind::Write;
+  it.Id = "mine";
+  it.Text = "WRITE b x";
+  Callers.statement(caller, it);
+  pass(milliseconds(900));
+  CHECK(last(caller).Error->Kind == ErrorKind::Busy);
+  auto lines = story("mine");
+  REQUIRE_FALSE(lines.empty());
+  CHECK(lines.back() == "PF5002 busy");
+  CHECK(Lines.back().Fields.at("last_target") == "p");
+}
+
+// A caller's write was sent and its connection broke as the primary crashed.
+TEST_CASE_FIXTURE(LogFixture,
+                  "write of unknown outcome, its lines name the connection") {
+  auto caller = session("orders");
+  Statement it;
+  it.Kind = StatementKind::Write;
+  it.Id = "mine";
+  it.Text = "WRITE b x";
+  Callers.statement(caller, it);
+  greetAll();
+  auto id = *busyAt("p");
+  All.withPools(TargetName("p"), [&](TargetPool &pool) { pool.closed(id); });
+  CHECK(last(caller).Error->Kind == ErrorKind::InDoubt);
+  auto lines = story("mine");
+  CHECK(std::find(lines.begin(), lines.end(),
+                  "PF4015 connection to the target lost") != lines.end());
+  CHECK(std::find(lines.begin(), lines.end(),
+                  "PF5003 connection to the target lost") != lines.end());
+}
+
+// A caller's read finds no replica young enough, and no primary to ask.
+TEST_CASE_FIXTURE(LogFixture,
+                  "read refused for its age, its lines name each replica") {
+  learnHead();
+  Entries.erase(TargetName("p"));
+  All.takeTargets(Entries);
+  auto caller = session("views");
+  Statement it;
+  it.Kind = StatementKind::Read;
+  it.Id = "mine";
+  it.Text = "READ b";
+  Callers.statement(caller, it);
+  for (unsigned n = 0; n < 40; ++n) {
+    pass(milliseconds(20));
+    greetAll();
+    for (const char *replica : {"r", "s"})
+      while (auto id = busyAt(replica)) {
+        bool own = Links.Lines.at(*id).Unanswered.front().Id.empty();
+        answer(*id, failure(own ? ErrorKind::ReadOnly : ErrorKind::Lagging,
+                            TransactionState::Idle));
+      }
+  }
+  CHECK(last(caller).Error->Kind == ErrorKind::Busy);
+  auto lines = story("mine");
+  CHECK(std::count(lines.begin(), lines.end(), "PF5009 lagging") >= 2);
+  CHECK(lines.back() == "PF5002 no primary to run it");
+}
