--- a/src/proxy/environment.cpp
+++ b/src/proxy/environment.cpp
@@ -7,16 +7,14 @@
 namespace {
 
 Statement setStatement(const std::string &name, const std::string &value) {
-  Statement it;
-  it.Kind = StatementKind::Set;
+  auto it = ownStatement(StatementKind::Set);
   it.Name = name;
   it.Argument = value;
   return it;
 }
 
 Statement prepareStatement(const Prepared &body) {
-  Statement it;
-  it.Kind = StatementKind::Prepare;
+  auto it = ownStatement(StatementKind::Prepare);
   it.Name = sharedName(body);
   it.Body = body;
   return it;
@@ -39,9 +37,7 @@
                                  const std::vector<Prepared> &needed) {
   std::vector<Statement> out;
   if (needsReset(have.Set, want)) {
-    Statement reset;
-    reset.Kind = StatementKind::Reset;
-    out.push_back(std::move(reset));
+    out.push_back(ownStatement(StatementKind::Reset));
     have = {};
   }
   for (const auto &[name, value] : want) {
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -13,12 +13,6 @@
 
 namespace {
 
-Statement ownStatement(StatementKind kind) {
-  Statement it;
-  it.Kind = kind;
-  return it;
-}
-
 bool isSameProcess(const TargetEntry &a, const TargetEntry &b) {
   return a.Born == b.Born && a.Address == b.Address && a.Group == b.Group;
 }
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -162,7 +162,8 @@
   void refuse(Session &session, milliseconds retryAfter, const char *why);
   void giveUpLost(Session &session, const char *why);
   void dropLease(LeaseId lease);
-  template <class Then> OnBatch guarded(const Session &session, Then then);
+  using UnitHandler = void (Sessions::*)(Session &, const BatchResult &);
+  OnBatch guarded(const Session &session, UnitHandler then);
   void logServed(const Session &session, const Answer &answer) const;
   void tickSession(Session &session, TimePoint now);
 
--- /dev/null
+++ b/src/proxy/statement.cpp
@@ -0,0 +1,53 @@
+#include "proxy/statement.h"
+
+namespace peridotfall::proxy {
+
+Statement ownStatement(StatementKind kind) {
+  Statement it;
+  it.Kind = kind;
+  return it;
+}
+
+bool writes(const Statement &it) {
+  return it.Kind == StatementKind::Write ||
+         (it.Kind == StatementKind::Execute && it.Body.Writes);
+}
+
+bool reads(const Statement &it) {
+  return it.Kind == StatementKind::Read ||
+         (it.Kind == StatementKind::Execute && !it.Body.Writes);
+}
+
+const char *nameOf(ErrorKind it) {
+  switch (it) {
+  case ErrorKind::Busy:
+    return "busy";
+  case ErrorKind::Aborted:
+    return "aborted";
+  case ErrorKind::Lagging:
+    return "lagging";
+  case ErrorKind::ReadOnly:
+    return "not primary";
+  case ErrorKind::WrongTarget:
+    return "wrong target";
+  case ErrorKind::ConnectionLimit:
+    return "connection limit";
+  case ErrorKind::Failed:
+    return "failed";
+  case ErrorKind::TimedOut:
+    return "timed out";
+  case ErrorKind::InDoubt:
+    return "in doubt";
+  case ErrorKind::NoStatement:
+    return "no such statement";
+  case ErrorKind::Malformed:
+    return "malformed";
+  case ErrorKind::NoDatabase:
+    return "no such database";
+  case ErrorKind::Other:
+    break;
+  }
+  return "other";
+}
+
+} // namespace peridotfall::proxy
--- a/src/proxy/statement.h
+++ b/src/proxy/statement.h
@@ -54,6 +54,12 @@
   auto operator<=>(const Statement &) const = default;
 };
 
+/// \return a statement of the proxy's own, without an id.
+Statement ownStatement(StatementKind kind);
+/// Prepared statements go by what they run.
+bool writes(const Statement &it);
+bool reads(const Statement &it);
+
 enum class TransactionState : std::uint8_t { Idle, Open, Failed };
 
 enum class ErrorKind : std::uint8_t {
@@ -72,6 +78,9 @@
   Other, ///< Stands in Detail whole.
 };
 
+/// For logs and metrics.
+const char *nameOf(ErrorKind it);
+
 /// \return whether a target that answers so has run nothing.
 constexpr bool saysNotRun(ErrorKind it) {
   return it == ErrorKind::Busy || it == ErrorKind::NoStatement ||
--- a/src/proxy/succession.cpp
+++ b/src/proxy/succession.cpp
@@ -272,8 +272,7 @@
         !change.Asked.insert(it.Name).second)
       continue;
     Batch batch;
-    batch.Statements.resize(1);
-    batch.Statements[0].Kind = StatementKind::Status;
+    batch.Statements = {ownStatement(StatementKind::Status)};
     batch.EndsLease = true;
     batch.Patience = limits::ChoiceLimit;
     LeaseRequest request{it.Name, 0, limits::ChoiceLimit,
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -27,12 +27,6 @@
   return isSigned(statement.Kind) == unsignedAnswer;
 }
 
-Statement rollbackStatement() {
-  Statement it;
-  it.Kind = StatementKind::Rollback;
-  return it;
-}
-
 } // namespace
 
 TargetPool::TargetPool(TargetEntry target, TargetPort &port, const Clock &clock,
@@ -261,7 +255,7 @@
   it->second.Abandoned = true;
   Batch work;
   work.Session = it->second.Environment.Set;
-  work.Statements = {rollbackStatement()};
+  work.Statements = {ownStatement(StatementKind::Rollback)};
   work.EndsLease = true;
   work.Patience = limits::RollbackLimit;
   auto end = Time.now() + work.Patience;
