--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -255,3 +255,60 @@
   CHECK_FALSE(view.leader());
   CHECK_FALSE(view.positionFor(milliseconds(1'500), Time.now()));
 }
+
+// Callers must not lose an answer to a planned stop. Sessions at rest end a
+// moment after readiness is taken back; a transaction has until its limit.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "stop, sessions at rest end, transactions have their time") {
+  auto resting = session("orders");
+  auto busy = session("orders");
+  send(busy, StatementKind::Begin);
+  send(busy, StatementKind::Write, "WRITE a x");
+  serve("p", TransactionState::Open);
+  Callers.stop(Time.now() + milliseconds(3'000));
+  pass(milliseconds(1'000));
+  CHECK(Side.Closed.empty());
+  pass(milliseconds(1'000));
+  CHECK(Side.Closed == std::vector<CallerId>{resting});
+  send(busy, StatementKind::Commit, "COMMIT");
+  serve("p", TransactionState::Open);
+  CHECK(last(busy).ok());
+  pass(milliseconds(100));
+  CHECK(Side.Closed == std::vector<CallerId>{resting, busy});
+}
+
+// A statement must not reach a process that knows nothing of before. The
+// target starts anew under its old name; what ran there is lost, and new work
+// gets connections of its own.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "target started anew, its connections are not used again") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Write, "WRITE a x");
+  serve("p", TransactionState::Idle);
+  REQUIRE(Links.Lines.size() == 1);
+  Entries.at(TargetName("p")).Born = 2;
+  Entries.at(TargetName("p")).Revision = 50;
+  All.takeTargets(Entries);
+  CHECK_FALSE(Links.Lines.begin()->second.Open);
+  send(caller, StatementKind::Write, "WRITE b x");
+  serve("p", TransactionState::Idle);
+  CHECK(last(caller).ok());
+  CHECK(Links.Lines.size() == 2);
+}
+
+// A leaving target gets no new work; a read goes to another one.
+TEST_CASE_FIXTURE(ProxyFixture, "replica leaving, reads go elsewhere") {
+  learnHead();
+  Entries.at(TargetName("r")).Leaving = true;
+  All.takeTargets(Entries);
+  for (unsigned n = 0; n < 5; ++n) {
+    auto caller = session("views");
+    send(caller, StatementKind::Read, "READ a");
+    pass(milliseconds(60));
+    serve("s", TransactionState::Idle);
+    serve("p", TransactionState::Open);
+    CHECK(last(caller).ok());
+  }
+  for (const auto &[id, it] : Links.Lines)
+    CHECK(it.Target.Value != "r");
+}
