Bound what runs at a target, and try a busy primary for longer

Ruled out: connections (six a holder, idle ones at hand), the promotion (led 1.0 s after the suspicion). Change: a pool sends six statements a slot over all holders, three at the least; the rest waits by priority, statements of open transactions go at once. A busy primary is tried with growing pauses for 0.65 of the statement's limit.

--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -142,7 +142,10 @@
       holders.push_back(ranked[i].Vm);
     bool holds =
         std::find(holders.begin(), holders.end(), Self.Vm) != holders.end();
-    pool->setCapacity(holds ? std::max<std::size_t>(planned / n, 1) : 0);
+    auto running = std::max(target.Slots * limits::RunningPerSlot / n,
+                            limits::LeastRunning);
+    pool->setCapacity(holds ? std::max<std::size_t>(planned / n, 1) : 0,
+                      running);
     Ways[name].setHolders(holders);
   }
 }
--- a/src/proxy/session_units.cpp
+++ b/src/proxy/session_units.cpp
@@ -380,6 +380,11 @@
                   field("target", unit.Target.Value), field("why", nameOf(why)),
                   field("tries", unit.Tries)});
   unit.Avoid = unit.Target;
+  bool busy = why == ErrorKind::Busy || why == ErrorKind::ConnectionLimit;
+  if (busy && unit.PrimaryOnly) {
+    retryBusy(session, now);
+    return;
+  }
   if (now + limits::LeastTry >= unit.Until || unit.Tries >= limits::MostTries) {
     refuse(session,
            unit.PrimaryOnly ? limits::PrimaryRetryAfter
@@ -387,12 +392,20 @@
            nameOf(why));
     return;
   }
-  bool busy = why == ErrorKind::Busy || why == ErrorKind::ConnectionLimit;
-  if (busy && unit.PrimaryOnly) {
-    unit.RunAt = now + limits::BusyPause;
-    return;
-  }
   place(session);
 }
 
+/// Load: a primary with more to do than it can. There is no other place for
+/// the statement, so it is tried there while it has time to run, with pauses
+/// that grow so that the tries are not a load of their own.
+void Sessions::retryBusy(Session &session, TimePoint now) {
+  auto &unit = *session.Current;
+  auto limit =
+      unit.Began + share(unit.Served.StatementLimit, limits::PrimaryWaitShare);
+  auto pause = std::min(limits::BusyPause * unit.Tries, limits::MostBusyPause);
+  if (now + pause >= limit)
+    refuse(session, limits::BusyRetryAfter, nameOf(ErrorKind::Busy));
+  else
+    unit.RunAt = now + pause;
+}
 } // namespace peridotfall::proxy
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -40,6 +40,8 @@
 inline constexpr milliseconds NoWait{3};
 /// Pause before a statement that a busy target refused is tried there again.
 inline constexpr milliseconds BusyPause{15};
+/// The same at the most; each pause is one longer than the one before.
+inline constexpr milliseconds MostBusyPause{120};
 /// When a caller whose statement found no primary shall come back. A change
 /// of primary takes 0.6 to 1.6 s from the failure.
 inline constexpr milliseconds PrimaryRetryAfter{400};
@@ -154,6 +156,7 @@
   void onHeld(Session &session, const BatchResult &result);
   void lostHeld(Session &session, const BatchResult &result);
   void retry(Session &session, ErrorKind why);
+  void retryBusy(Session &session, TimePoint now);
   void report(Session &session, Group &group, const BatchResult &result);
 
   void deliver(Session &session, Answer answer);
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -91,10 +91,19 @@
   rollBack(it);
 }
 
-/// Load: more work than connections. The waiting one of the highest priority
-/// that came first takes the idle connection that needs least to serve it.
+std::size_t TargetPool::running() const {
+  return static_cast<std::size_t>(
+      std::count_if(Connections.begin(), Connections.end(), [](const auto &it) {
+        return it.second.State == Phase::Running;
+      }));
+}
+
+/// Load: more work than the target runs. Sent all at once, what is beyond its
+/// queue is refused by it whatever its priority. The waiting one of the
+/// highest priority that came first takes the idle connection that needs least
+/// to serve it; statements of open transactions do not wait here.
 void TargetPool::assign() {
-  while (!Waiting.empty()) {
+  while (!Waiting.empty() && running() < MostRunning) {
     auto it = bestIdle(Waiting.front().First.Session);
     if (it == Connections.end())
       break;
@@ -125,7 +134,7 @@
 
 void TargetPool::openMore() {
   auto now = Time.now();
-  if (Retired || now < OpenAfter)
+  if (Retired || now < OpenAfter || running() >= MostRunning)
     return;
   // Other daemons may believe for a moment longer that this one holds some.
   auto most = std::max<std::size_t>(Capacity, 1);
@@ -321,8 +330,9 @@
     refuse(it, why);
 }
 
-void TargetPool::setCapacity(std::size_t connections) {
+void TargetPool::setCapacity(std::size_t connections, std::size_t running) {
   Capacity = connections;
+  MostRunning = running;
   // Another daemon may use the places from now on.
   if (Capacity == 0)
     closeIdle();
@@ -330,7 +340,8 @@
 
 bool TargetPool::isFree() const {
   auto now = stats();
-  return now.Waiting == 0 && (now.Idle > 0 || now.Open < Capacity);
+  return now.Waiting == 0 && running() < MostRunning &&
+         (now.Idle > 0 || now.Open < Capacity);
 }
 
 void TargetPool::tick() {
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -79,7 +79,8 @@
   /// Lets go of what waited or ran too long.
   void tick();
 
-  void setCapacity(std::size_t connections);
+  /// \param running statements of new leases that may run at once.
+  void setCapacity(std::size_t connections, std::size_t running);
   /// \return whether a lease would start without waiting for another.
   bool isFree() const;
   void update(const TargetEntry &target) { Target = target; }
@@ -125,6 +126,7 @@
   void assign();
   void start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done,
              TimePoint end);
+  std::size_t running() const;
   ConnectionIt bestIdle(const Values &session);
   void openMore();
   void finish(ConnectionIt it);
@@ -141,6 +143,7 @@
   const Clock &Time;
   std::uint64_t &LastLease;
   std::size_t Capacity = 1;
+  std::size_t MostRunning = 1;
   bool Retired = false;
   std::map<ConnectionId, Connection> Connections;
   std::map<LeaseId, ConnectionId> Leases;
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -312,3 +312,24 @@
   for (const auto &[id, it] : Links.Lines)
     CHECK(it.Target.Value != "r");
 }
+
+// Load: a new primary takes all reads while the replicas lag, and refuses some
+// as busy. Given up on after a few quick tries, a statement is lost with most
+// of its time unused.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "target busy for a while, statement is tried for longer") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Write, "WRITE a x");
+  greetAll();
+  for (unsigned n = 0; n < 15; ++n) {
+    if (auto id = busyAt("p"))
+      answer(*id, failure(ErrorKind::Busy, TransactionState::Idle));
+    pass(milliseconds(20));
+  }
+  CHECK(answers(caller).empty());
+  serve("p", TransactionState::Idle);
+  pass(milliseconds(130));
+  serve("p", TransactionState::Idle);
+  REQUIRE_FALSE(answers(caller).empty());
+  CHECK(last(caller).ok());
+}
--- /dev/null
+++ b/tests/proxy/target_pool_test.cpp
@@ -0,0 +1,132 @@
+#include "fixture.h"
+
+using namespace peridotfall;
+using namespace peridotfall::proxy;
+
+namespace {
+
+/// A pool of eight connections that may run three statements at once.
+struct PoolFixture {
+  ManualClock Time;
+  FakeTargets Links;
+  std::uint64_t LastLease = 0;
+  TargetPool Pool{entry(), Links, Time, LastLease};
+  std::vector<std::string> Ended; ///< Ids of statements, in order.
+
+  PoolFixture() { Pool.setCapacity(8, 3); }
+
+  static TargetEntry entry() {
+    TargetEntry it;
+    it.Name = TargetName("t");
+    it.Slots = 2;
+    return it;
+  }
+  LeaseId begin(const char *id, unsigned priority, bool keeps = false) {
+    Batch batch;
+    batch.Statements.resize(1);
+    batch.Statements[0].Kind = StatementKind::Read;
+    batch.Statements[0].Id = id;
+    batch.EndsLease = !keeps;
+    batch.Patience = milliseconds(500);
+    LeaseRequest request{TargetName("t"), priority, milliseconds(300),
+                         milliseconds(800)};
+    return Pool.begin(request, batch, [this, id](const BatchResult &it) {
+      Ended.push_back(std::string(id) +
+                      (it.End == BatchEnd::NotRun ? " not run" : ""));
+    });
+  }
+  void greetAll() {
+    while (!Links.Opening.empty()) {
+      auto id = Links.Opening.back();
+      Links.Opening.pop_back();
+      Pool.opened(id);
+    }
+  }
+  std::size_t running() const {
+    std::size_t n = 0;
+    for (const auto &[id, it] : Links.Lines)
+      n += it.Open && !it.Unanswered.empty();
+    return n;
+  }
+  /// Answers one statement.
+  void serveOne() {
+    for (auto &[id, it] : Links.Lines) {
+      if (!it.Open || it.Unanswered.empty())
+        continue;
+      Answer answer;
+      answer.Signature = "s";
+      it.Unanswered.pop_front();
+      Pool.answered(id, answer);
+      return;
+    }
+  }
+  void serveAll() {
+    greetAll();
+    while (running() > 0) {
+      serveOne();
+      greetAll();
+    }
+  }
+};
+
+} // namespace
+
+// Load: more statements than a target runs. Sent all at once, those beyond its
+// queue are refused by it and tried again, which it refuses again; orders among
+// them fare no better than lookups. Held here, the order goes first.
+TEST_CASE_FIXTURE(PoolFixture,
+                  "more statements than the target runs, wait by priority") {
+  for (const char *id : {"a", "b", "c", "d", "e"})
+    begin(id, 2);
+  greetAll();
+  CHECK(running() == 3);
+  begin("order", 1);
+  serveOne();
+  greetAll();
+  CHECK(running() == 3);
+  serveAll();
+  REQUIRE(Ended.size() == 6);
+  auto place = std::find(Ended.begin(), Ended.end(), "order") - Ended.begin();
+  CHECK(place < 4);
+}
+
+// A transaction that waits behind new work would hold its connection and its
+// locks the longer; its statements go at once.
+TEST_CASE_FIXTURE(PoolFixture,
+                  "statement of an open transaction, does not wait") {
+  auto held = begin("first", 2, true);
+  serveAll();
+  for (const char *id : {"a", "b", "c", "d"})
+    begin(id, 2);
+  greetAll();
+  REQUIRE(running() == 3);
+  Batch next;
+  next.Statements.resize(1);
+  next.Statements[0].Kind = StatementKind::Read;
+  next.Statements[0].Id = "next";
+  next.Patience = milliseconds(500);
+  Pool.run(held, next, [](const BatchResult &) {});
+  CHECK(running() == 4);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "statement that waits too long, has not run") {
+  for (const char *id : {"a", "b", "c", "late"})
+    begin(id, 2);
+  greetAll();
+  Time.advance(milliseconds(320));
+  Pool.tick();
+  CHECK(Ended == std::vector<std::string>{"late not run"});
+}
+
+// A silent target holds each statement for its whole patience. Idle
+// connections of the same path would cost the next ones as much.
+TEST_CASE_FIXTURE(PoolFixture, "connection silent, idle ones are closed too") {
+  begin("a", 2);
+  begin("b", 2);
+  greetAll();
+  serveOne();
+  Time.advance(milliseconds(520));
+  Pool.tick();
+  for (const auto &[id, it] : Links.Lines)
+    CHECK_FALSE(it.Open);
+}
