--- a/src/proxy/session_units.cpp
+++ b/src/proxy/session_units.cpp
@@ -137,12 +137,15 @@
   sendFirst(session, choice.Target, false, least);
 }
 
+TimePoint Sessions::primaryWaitEnd(const Unit &unit) {
+  return unit.Began +
+         share(unit.Served.StatementLimit, limits::PrimaryWaitShare);
+}
+
 void Sessions::park(Session &session) {
   auto &unit = *session.Current;
   unit.Parked = true;
-  auto limit =
-      unit.Began + share(unit.Served.StatementLimit, limits::PrimaryWaitShare);
-  if (Time.now() >= limit)
+  if (Time.now() >= primaryWaitEnd(unit))
     refuse(session, limits::PrimaryRetryAfter, "no primary to run it");
 }
 
@@ -200,17 +203,18 @@
       share(unit.Served.StatementLimit, limits::ReadPatienceShare),
       limits::LeastReadPatience);
   batch.Patience = repeatable ? std::min<Duration>(left, patience) : left;
-  auto wait = unit.PrimaryOnly
-                  ? share(unit.Served.StatementLimit, limits::PrimaryWaitShare)
-                  : Duration(limits::ReadWait);
+  // At the primary there is nowhere else to go.
+  auto wait =
+      atPrimary ? primaryWaitEnd(unit) - now : Duration(limits::ReadWait);
   ++unit.Tries;
   unit.Target = target;
   unit.Sent = batch;
   unit.SentAt = now;
   if (auto *group = Targets.find(unit.Served.Group))
     group->Reads.started(target);
-  LeaseRequest request{target, unit.Served.Priority,
-                       std::min<Duration>(wait, left - limits::LeastTry), left};
+  LeaseRequest request{
+      target, unit.Served.Priority,
+      std::clamp<Duration>(wait, Duration{}, left - limits::LeastTry), left};
   unit.Lease = Targets.begin(request, std::move(batch),
                              guarded(session, &Sessions::onFirst));
 }
@@ -400,10 +404,8 @@
 /// that grow so that the tries are not a load of their own.
 void Sessions::retryBusy(Session &session, TimePoint now) {
   auto &unit = *session.Current;
-  auto limit =
-      unit.Began + share(unit.Served.StatementLimit, limits::PrimaryWaitShare);
   auto pause = std::min(limits::BusyPause * unit.Tries, limits::MostBusyPause);
-  if (now + pause >= limit)
+  if (now + pause >= primaryWaitEnd(unit))
     refuse(session, limits::BusyRetryAfter, nameOf(ErrorKind::Busy));
   else
     unit.RunAt = now + pause;
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -145,6 +145,8 @@
   void place(Session &session);
   void placeRead(Session &session, Group &group);
   void placeAtPrimary(Session &session, Group &group);
+  /// \return when a statement is given up on that waits for a primary.
+  static TimePoint primaryWaitEnd(const Unit &unit);
   void park(Session &session);
   Batch composeFirst(const Session &session, bool atPrimary,
                      std::optional<Position> notBefore) const;
