Keep versions and the stop's plan in the product, and follow a forerunner's incarnation

Cause: reading platform/ as a newcomer: it decided that versions only go up and how a stop is timed. And an incarnation is drawn from the time of day: after it went back, others would hold a restarted daemon for its dead forerunner and a duty held by that one would look held.

--- a/include/peridotfall/membership.h
+++ b/include/peridotfall/membership.h
@@ -102,6 +102,9 @@
   void takeNews(const std::vector<MemberRecord> &records, TimePoint now);
   /// From now on this daemon owns nothing.
   void leave(TimePoint now);
+  /// Raises this daemon's incarnation: the clock that it was drawn from had
+  /// gone back, and others would take it for its forerunner.
+  void raiseIncarnation(std::uint64_t incarnation);
   /// Once the daemon listens: the address that others reach it by.
   void setOwnAddress(std::string address);
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -259,6 +259,12 @@
   observed(own, now);
 }
 
+void Membership::raiseIncarnation(std::uint64_t incarnation) {
+  auto &own = Entries[Self].Record.It;
+  own.Incarnation = std::max(own.Incarnation, incarnation);
+  ++Generation;
+}
+
 void Membership::setOwnAddress(std::string address) {
   Entries[Self].Record.It.InnerAddress = std::move(address);
   ++Generation;
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -74,6 +74,11 @@
   publish();
 }
 
+void Peers::raiseIncarnation(std::uint64_t incarnation) {
+  View.raiseIncarnation(incarnation);
+  publish();
+}
+
 void Peers::leave() { View.leave(Time.now()); }
 
 void Peers::handle(const http::Request &request, const http::Respond &respond) {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -42,6 +42,7 @@
   void takeList(const std::vector<Member> &list);
   void tick();
   void leave();
+  void raiseIncarnation(std::uint64_t incarnation);
   const Membership &members() const { return View; }
 
   /// Answers another daemon.
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -23,7 +23,11 @@
   return it == All.end() ? nullptr : &it->second;
 }
 
-void Sessions::takeRoutes(const RoutingTable &table) {
+bool Sessions::takeRoutes(const RoutingTable &table) {
+  // A list that was read late must not take a version back: sessions would be
+  // routed by what an operator has replaced.
+  if (table.Version <= Table.Version)
+    return false;
   Table = table;
   std::vector<CallerId> waiting;
   for (const auto &[id, it] : All)
@@ -32,6 +36,7 @@
   for (auto id : waiting)
     if (auto *it = find(id))
       greet(*it);
+  return true;
 }
 
 void Sessions::start(CallerId caller, const DatabaseName &database) {
@@ -377,9 +382,15 @@
       tickSession(*it, now);
 }
 
-void Sessions::stop(TimePoint transactionsUntil) {
-  StoppingSince = Time.now();
-  TransactionsUntil = transactionsUntil;
+void Sessions::stop(Duration limit) {
+  auto now = Time.now();
+  StoppingSince = now;
+  TransactionsUntil = now + limit / 2;
+  StopAt = now + limit - limits::StopReserve;
+}
+
+bool Sessions::isStopped() const {
+  return StoppingSince && (All.empty() || Time.now() >= StopAt);
 }
 
 } // namespace peridotfall::proxy
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -52,6 +52,8 @@
 /// A stopping daemon closes idle sessions after this long, when no new ones
 /// come to it any more: its readiness is asked once a second, twice.
 inline constexpr milliseconds StopQuiet{1'500};
+/// What is left of the time to stop for the last answers to leave.
+inline constexpr milliseconds StopReserve{400};
 /// Values and prepared names of one session. Harm: memory of a small VM.
 inline constexpr std::size_t MostSessionNames = 256;
 
@@ -74,7 +76,8 @@
   Sessions(Groups &groups, CallerPort &port, ProxyMetrics &metrics,
            const Clock &clock);
 
-  void takeRoutes(const RoutingTable &table);
+  /// \return whether it is newer than the one in force; else nothing changes.
+  bool takeRoutes(const RoutingTable &table);
   const RoutingTable &routes() const { return Table; }
 
   void start(CallerId caller, const DatabaseName &database);
@@ -83,8 +86,12 @@
   void tick();
   /// Runs what waits for the group's primary.
   void resume(const GroupName &group);
-  /// Ends sessions as they come to rest; open transactions have until then.
-  void stop(TimePoint transactionsUntil);
+  /// Ends sessions as they come to rest, all within \p limit; open
+  /// transactions have half of it.
+  void stop(Duration limit);
+  bool isStopping() const { return StoppingSince.has_value(); }
+  /// \return whether nothing is left, or the limit is over.
+  bool isStopped() const;
 
   std::size_t open() const { return All.size(); }
 
@@ -181,6 +188,7 @@
   std::uint64_t LastSerial = 0;
   std::optional<TimePoint> StoppingSince;
   TimePoint TransactionsUntil{};
+  TimePoint StopAt{};
 };
 
 } // namespace peridotfall::proxy
--- a/src/proxy/succession.h
+++ b/src/proxy/succession.h
@@ -124,6 +124,10 @@
   void tick();
 
   bool holds() const;
+  /// Of this daemon; before it holds the duty.
+  void raiseIncarnation(std::uint64_t incarnation) {
+    Incarnation = incarnation;
+  }
 
 private:
   enum class Step : std::uint8_t {
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -198,3 +198,14 @@
     }
   CHECK(probes <= 10 * 4);
 }
+
+// A daemon that has started anew is taken for its forerunner, which others
+// hold dead. The time of day went back between the two starts.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, own incarnation raised, never goes down") {
+  auto before = View.self().It.Incarnation;
+  View.raiseIncarnation(before + 10);
+  CHECK(View.self().It.Incarnation == before + 10);
+  View.raiseIncarnation(before);
+  CHECK(View.self().It.Incarnation == before + 10);
+}
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -265,7 +265,7 @@
   send(busy, StatementKind::Begin);
   send(busy, StatementKind::Write, "WRITE a x");
   serve("p", TransactionState::Open);
-  Callers.stop(Time.now() + milliseconds(3'000));
+  Callers.stop(milliseconds(6'000));
   pass(milliseconds(1'000));
   CHECK(Side.Closed.empty());
   pass(milliseconds(1'000));
@@ -275,6 +275,7 @@
   CHECK(last(busy).ok());
   pass(milliseconds(100));
   CHECK(Side.Closed == std::vector<CallerId>{resting, busy});
+  CHECK(Callers.isStopped());
 }
 
 // A statement must not reach a process that knows nothing of before. The
@@ -333,3 +334,15 @@
   REQUIRE_FALSE(answers(caller).empty());
   CHECK(last(caller).ok());
 }
+
+TEST_CASE_FIXTURE(ProxyFixture, "routes of an older version, are not taken") {
+  auto newer = Callers.routes();
+  newer.Version = 7;
+  newer.Routes.erase(DatabaseName("views"));
+  CHECK(Callers.takeRoutes(newer));
+  auto older = Callers.routes();
+  older.Version = 6;
+  older.Routes.clear();
+  CHECK_FALSE(Callers.takeRoutes(older));
+  CHECK(Callers.routes() == newer);
+}
