Answer a statement whose transaction's connection is gone

Cause: found by reading. A connection that broke between two statements had nobody to tell; the next statement's lease was unknown to every pool, and its call back was dropped: the caller waited until its deadline. The same where a target had left the list before its batch began. Change: such a batch ends at the next tick as not run; the transaction is aborted, also at its commit, as no byte of that was sent. Settings that nothing used are gone; a daemon's late answer no longer leaves an empty set behind. Both tests fail without the change (no answer within 0.1 s).

--- a/src/proxy/directory.h
+++ b/src/proxy/directory.h
@@ -33,7 +33,6 @@
   GroupName Group;
   Guarantee Reads = Guarantee::Primary;
   milliseconds StatementLimit{800}; ///< For one statement, waits included.
-  milliseconds LatencyGoal{500};    ///< For one operation.
   unsigned Priority = 0;            ///< 0 is the highest.
   milliseconds MaxStaleness{};
 
@@ -53,7 +52,6 @@
   std::map<DatabaseName, Route> Routes;
   std::map<GroupName, GroupSettings> Groups;
   milliseconds TransactionIdle{3'000};
-  std::size_t MaxStatementBytes = 1 << 20;
 
   auto operator<=>(const RoutingTable &) const = default;
 };
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -181,10 +181,13 @@
     if (done)
       done(std::move(result));
   };
-  if (by == Self.Vm)
+  if (by == Self.Vm && pool(target))
     return beginHere(request, std::move(first), counted);
   LeaseId lease{++LastLease};
-  Relay.begin(by, lease, request, std::move(first), counted);
+  if (by == Self.Vm)
+    endLater(counted);
+  else
+    Relay.begin(by, lease, request, std::move(first), counted);
   return lease;
 }
 
@@ -201,8 +204,15 @@
     Relay.run(lease, std::move(next), std::move(done));
   else if (auto *it = poolOf(lease))
     it->run(lease, std::move(next), std::move(done));
+  else
+    endLater(std::move(done));
 }
 
+/// A connection that broke between two statements of a transaction had nobody
+/// to tell. The batch that finds it gone must be answered, and not from within
+/// the call.
+void Groups::endLater(OnBatch done) { Ending.push_back(std::move(done)); }
+
 void Groups::abandon(LeaseId lease) {
   if (Relay.owns(lease))
     Relay.abandon(lease);
@@ -391,6 +401,12 @@
 
 void Groups::tick() {
   auto now = Time.now();
+  for (auto &it : std::exchange(Ending, {})) {
+    BatchResult gone;
+    gone.Why = {ErrorKind::Busy, "the connection is gone"};
+    if (it)
+      it(std::move(gone));
+  }
   for (auto &[name, it] : Pools)
     it->tick();
   for (auto &it : Retired)
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -141,6 +141,8 @@
 private:
   LeaseId beginBy(const VmName &by, const LeaseRequest &request, Batch first,
                   OnBatch done);
+  /// Ends a batch at the next tick: there is no connection for it.
+  void endLater(OnBatch done);
   void askLead(const TargetName &target);
   void askLeadBy(const VmName &by, const TargetName &target);
   void tickGroup(Group &group, TimePoint now);
@@ -155,6 +157,7 @@
   const Clock &Time;
   std::vector<Member> Live;
   std::uint64_t LastLease = 0;
+  std::vector<OnBatch> Ending;
   std::uint64_t Seed = 1;
   TargetList Targets;
   std::map<TargetName, std::unique_ptr<TargetPool>> Pools;
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -148,8 +148,9 @@
                                const http::Respond &respond) {
   return [this, connection, lease = std::move(lease),
           respond](BatchResult result) {
-    if (!result.Kept)
-      Leases[connection].erase(*lease);
+    auto held = Leases.find(connection);
+    if (!result.Kept && held != Leases.end())
+      held->second.erase(*lease);
     respond(
         {StatusOk,
          {},
@@ -187,7 +188,9 @@
   auto id = message.value().Lease;
   // Only the daemon that began it may go on with it, and only between its
   // batches.
-  if (!Leases[request.Connection].contains(id) || !Targets.isHeldHere(id)) {
+  auto held = Leases.find(request.Connection);
+  bool isTheirs = held != Leases.end() && held->second.contains(id);
+  if (!isTheirs || !Targets.isHeldHere(id)) {
     respond({StatusOk,
              {},
              messages::encode(
@@ -202,7 +205,9 @@
 void RelayServer::abandon(const http::Request &request,
                           const http::Respond &respond) {
   auto message = messages::decodeAbandonLease(request.Body);
-  if (message && Leases[request.Connection].erase(message.value().Lease) > 0)
+  auto held = Leases.find(request.Connection);
+  if (message && held != Leases.end() &&
+      held->second.erase(message.value().Lease) > 0)
     Targets.abandon(message.value().Lease);
   respond({StatusOk, {}, {}});
 }
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -5,7 +5,6 @@
 #ifndef PERIDOTFALL_PROXY_SESSIONS_H
 #define PERIDOTFALL_PROXY_SESSIONS_H
 
-#include "peridotfall/retry_budget.h"
 #include "proxy/groups.h"
 #include "proxy/metrics.h"
 
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -346,3 +346,36 @@
   CHECK_FALSE(Callers.takeRoutes(older));
   CHECK(Callers.routes() == newer);
 }
+
+// A caller's statement is never answered. Its transaction's connection broke
+// between two statements, so nobody was told; the next one finds no lease.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "connection lost between statements, next one is aborted") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Begin);
+  send(caller, StatementKind::Write, "WRITE a x");
+  serve("p", TransactionState::Open);
+  REQUIRE(last(caller).ok());
+  auto id = Links.Lines.begin()->first;
+  All.withPools(TargetName("p"), [&](TargetPool &pool) { pool.closed(id); });
+  send(caller, StatementKind::Write, "WRITE b x");
+  pass(milliseconds(100));
+  CHECK(last(caller).Error->Kind == ErrorKind::Aborted);
+  CHECK(last(caller).State == TransactionState::Failed);
+}
+
+// The same for a commit: without a byte of it sent, the target has rolled the
+// transaction back, and the caller may be told so.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "connection lost before the commit, nothing is kept") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Begin);
+  send(caller, StatementKind::Write, "WRITE a x");
+  serve("p", TransactionState::Open);
+  auto id = Links.Lines.begin()->first;
+  All.withPools(TargetName("p"), [&](TargetPool &pool) { pool.closed(id); });
+  send(caller, StatementKind::Commit, "COMMIT");
+  pass(milliseconds(100));
+  CHECK(last(caller).Error->Kind == ErrorKind::Aborted);
+  CHECK(last(caller).State == TransactionState::Idle);
+}
