Give back the load that a caller leaves behind

Cause: found by reading. A caller that left while its read ran was counted as running at its target, and on its path, for good: the answer found no session. With forty such reads a healthy replica took none of the next twenty. Change: a use of a path ends with its answer or when nobody waits for it; a session that ends gives its read back to placement. The test fails without the change (none of twenty at the replica).

--- a/include/peridotfall/placement.h
+++ b/include/peridotfall/placement.h
@@ -167,6 +167,8 @@
                 const std::vector<Candidate> &candidates, bool linkOpen,
                 TimePoint now);
   void started(const TargetName &target);
+  /// A read that was started was given up by its caller.
+  void dropped(const TargetName &target);
   /// \param replicas of the group; the floor of ejection depends on it.
   void answered(const AnswerReport &report, std::size_t replicas,
                 TimePoint now);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -134,6 +134,12 @@
   ++Loads[target].Outstanding;
 }
 
+void Placement::dropped(const TargetName &target) {
+  auto it = Loads.find(target);
+  if (it != Loads.end() && it->second.Outstanding > 0)
+    --it->second.Outstanding;
+}
+
 /// A replica that was behind had a lag of at least the position's age.
 void Placement::learnLag(const AnswerReport &report, Load &load,
                          TimePoint now) {
@@ -155,8 +161,7 @@
 void Placement::answered(const AnswerReport &report, std::size_t replicas,
                          TimePoint now) {
   auto &load = Loads[report.Target];
-  if (load.Outstanding > 0)
-    --load.Outstanding;
+  dropped(report.Target);
   if (isFailure(report.Code)) {
     if (++load.FailuresInRow >= limits::EjectFailures && !report.FromPrimary)
       eject(report.Target, replicas, now);
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -17,6 +17,42 @@
   return a.Born == b.Born && a.Address == b.Address && a.Group == b.Group;
 }
 
+/// One use of a path, counted as long as it lasts. It ends with its answer, or
+/// when nobody waits for that any more.
+class PathUse {
+public:
+  PathUse(const std::shared_ptr<PathBook> &book, TargetName target, VmName by)
+      : Book(book), Target(std::move(target)), By(std::move(by)) {
+    if (auto *it = paths())
+      it->started(By);
+  }
+  ~PathUse() {
+    if (auto *it = paths())
+      it->dropped(By);
+  }
+  PathUse(const PathUse &) = delete;
+  PathUse &operator=(const PathUse &) = delete;
+
+  void end(bool failed, TimePoint now) {
+    if (auto *it = paths())
+      it->ended(By, failed, now);
+    Book.reset();
+  }
+
+private:
+  Paths *paths() {
+    auto book = Book.lock();
+    if (!book)
+      return nullptr;
+    auto it = book->find(Target);
+    return it == book->end() ? nullptr : &it->second;
+  }
+
+  std::weak_ptr<PathBook> Book;
+  TargetName Target;
+  VmName By;
+};
+
 /// \return whether a success of it shows that the target leads.
 /// A plain transaction's statements do, and its commit only if it wrote; a
 /// lone read does not.
@@ -173,11 +209,9 @@
 LeaseId Groups::beginBy(const VmName &by, const LeaseRequest &request,
                         Batch first, OnBatch done) {
   auto target = request.Target;
-  if (auto it = Ways.find(target); it != Ways.end())
-    it->second.started(by);
-  auto counted = [this, by, target, done](BatchResult result) {
-    if (auto it = Ways.find(target); it != Ways.end())
-      it->second.ended(by, result.TargetUnreachable, Time.now());
+  auto use = std::make_shared<PathUse>(Book, target, by);
+  auto counted = [this, use, done](BatchResult result) {
+    use->end(result.TargetUnreachable, Time.now());
     if (done)
       done(std::move(result));
   };
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -69,6 +69,8 @@
   virtual bool owns(LeaseId lease) const = 0;
 };
 
+using PathBook = std::map<TargetName, Paths>;
+
 struct Group {
   explicit Group(std::uint64_t seed) : Reads(seed) {}
 
@@ -161,7 +163,9 @@
   std::uint64_t Seed = 1;
   TargetList Targets;
   std::map<TargetName, std::unique_ptr<TargetPool>> Pools;
-  std::map<TargetName, Paths> Ways;
+  /// Shared with what is under way, which may end after this.
+  std::shared_ptr<PathBook> Book = std::make_shared<PathBook>();
+  PathBook &Ways = *Book;
   /// Of targets that are gone, until their last lease has ended.
   std::vector<std::unique_ptr<TargetPool>> Retired;
   std::map<GroupName, std::unique_ptr<Group>> ByName;
--- a/src/proxy/paths.cpp
+++ b/src/proxy/paths.cpp
@@ -47,9 +47,8 @@
   auto found = States.find(by);
   if (found == States.end())
     return;
+  dropped(by);
   auto &it = found->second;
-  if (it.Outstanding > 0)
-    --it.Outstanding;
   if (!failed)
     it.FailingSince.reset();
   else if (!it.FailingSince) {
@@ -58,6 +57,12 @@
   }
 }
 
+void Paths::dropped(const VmName &by) {
+  auto it = States.find(by);
+  if (it != States.end() && it->second.Outstanding > 0)
+    --it->second.Outstanding;
+}
+
 std::vector<VmName> Paths::probesDue(TimePoint now) {
   std::vector<VmName> out;
   for (auto &[name, it] : States) {
--- a/src/proxy/paths.h
+++ b/src/proxy/paths.h
@@ -47,6 +47,8 @@
   void started(const VmName &by);
   /// \param failed the path, by the target's fault or the daemon's.
   void ended(const VmName &by, bool failed, TimePoint now);
+  /// What was started was given up; it tells nothing of the path.
+  void dropped(const VmName &by);
   /// \return the paths that failed and are to be tried again now.
   std::vector<VmName> probesDue(TimePoint now);
   /// \return since when every path has failed; nothing: one has not.
--- a/src/proxy/session_units.cpp
+++ b/src/proxy/session_units.cpp
@@ -213,6 +213,7 @@
   unit.SentAt = now;
   if (auto *group = Targets.find(unit.Served.Group))
     group->Reads.started(target);
+  unit.Placed = true;
   LeaseRequest request{
       target, unit.Served.Priority,
       std::clamp<Duration>(wait, Duration{}, left - limits::LeastTry), left};
@@ -242,6 +243,7 @@
 
 void Sessions::onFirst(Session &session, const BatchResult &result) {
   auto &unit = *session.Current;
+  unit.Placed = false;
   if (auto *group = Targets.find(unit.Served.Group))
     report(session, *group, result);
   switch (result.End) {
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -84,8 +84,13 @@
     return;
   auto session = std::move(it->second);
   All.erase(it);
-  if (session.Current)
-    dropLease(session.Current->Lease);
+  if (session.Current) {
+    const auto &unit = *session.Current;
+    auto *group = Targets.find(unit.Served.Group);
+    if (unit.Placed && group)
+      group->Reads.dropped(unit.Target);
+    dropLease(unit.Lease);
+  }
   if (session.State != TransactionState::Idle)
     dropLease(session.Open.Lease);
 }
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -113,6 +113,7 @@
     TimePoint Until;
     unsigned Tries = 0;
     bool PrimaryOnly = false;
+    bool Placed = false;            ///< Counts at its target.
     bool Parked = false;            ///< Waits for a primary.
     std::optional<TimePoint> RunAt; ///< Waits for a replica or a slot.
     TargetName Avoid;
--- a/tests/proxy/paths_test.cpp
+++ b/tests/proxy/paths_test.cpp
@@ -73,3 +73,12 @@
   Ways.ended(Two, false, Time.now());
   CHECK_FALSE(Ways.unreachableSince());
 }
+
+// Load: callers that leave while a holder works for them. Nothing is answered
+// then, and the holder must not be taken for the busier one for good.
+TEST_CASE_FIXTURE(PathsFixture, "work given up, its path is free again") {
+  Ways.started(One);
+  CHECK(Ways.choose(Self, true) == Two);
+  Ways.dropped(One);
+  CHECK(Ways.choose(Self, true) == One);
+}
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -379,3 +379,32 @@
   CHECK(last(caller).Error->Kind == ErrorKind::Aborted);
   CHECK(last(caller).State == TransactionState::Idle);
 }
+
+// Load: callers that leave while their reads run. Counted as running for good,
+// they make a healthy replica look busy, and all reads go elsewhere.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "callers leave while they read, replica is used again") {
+  learnHead();
+  auto readAt = [&](bool leaves) {
+    auto caller = session("views");
+    send(caller, StatementKind::Read, "READ a");
+    pass(milliseconds(60));
+    greetAll();
+    std::string target = busyAt("r") ? "r" : "s";
+    if (leaves && target == "r")
+      Callers.closed(caller);
+    pass(milliseconds(20));
+    serve("r", TransactionState::Idle);
+    serve("s", TransactionState::Idle);
+    serve("p", TransactionState::Open);
+    return target;
+  };
+  for (unsigned n = 0; n < 10; ++n)
+    readAt(false);
+  for (unsigned n = 0; n < 40; ++n)
+    readAt(true);
+  unsigned atReplica = 0;
+  for (unsigned n = 0; n < 20; ++n)
+    atReplica += readAt(false) == "r";
+  CHECK(atReplica > 0);
+}
