--- a/src/messages/inner.cpp
+++ b/src/messages/inner.cpp
@@ -1,5 +1,7 @@
 #include "messages/inner.h"
 
+#include "messages/time.h"
+
 #include <chrono>
 #include <type_traits>
 
@@ -7,19 +9,6 @@
 
 namespace {
 
-using std::chrono::microseconds;
-
-std::uint64_t toMicros(Duration it) {
-  auto n = std::chrono::duration_cast<microseconds>(it).count();
-  return n < 0 ? 0 : static_cast<std::uint64_t>(n);
-}
-
-Duration fromMicros(std::uint64_t n) {
-  // Past this a sum with the clock could overflow; no wait is that long.
-  constexpr std::uint64_t Longest = 365ULL * 86'400 * 1'000'000;
-  return microseconds(std::min(n, Longest));
-}
-
 void put(inner::Position *out, const Position &it) {
   out->set_term(it.InTerm);
   out->set_index(it.Index);
--- a/src/messages/lease.cpp
+++ b/src/messages/lease.cpp
@@ -1,6 +1,7 @@
 #include "messages/lease.h"
 
 #include "messages/lease.pb.h"
+#include "messages/time.h"
 
 #include <algorithm>
 
@@ -8,23 +9,10 @@
 
 namespace {
 
-using std::chrono::microseconds;
-
 Error malformed() {
   return {ErrorCode::Invalid, "inner message: not of this protocol"};
 }
 
-std::uint64_t toMicros(Duration it) {
-  auto n = std::chrono::duration_cast<microseconds>(it).count();
-  return n < 0 ? 0 : static_cast<std::uint64_t>(n);
-}
-
-Duration fromMicros(std::uint64_t n) {
-  // Past this a sum with the clock could overflow; no wait is that long.
-  constexpr std::uint64_t Longest = 86'400ULL * 1'000'000;
-  return microseconds(std::min(n, Longest));
-}
-
 /// \return whether the number names a value of the enumeration.
 template <class E> bool takeEnum(std::uint32_t n, E last, E &out) {
   out = static_cast<E>(n);
