--- a/src/telemetry/log_writer.cpp
+++ b/src/telemetry/log_writer.cpp
@@ -23,7 +23,9 @@
 };
 
 std::mutex Lock;
-Writer Current;
+/// Never destroyed: at the process's end the writing thread may still hold it,
+/// and a sink that goes first under it is a race.
+Writer &Current = *new Writer; // NOLINT: see above.
 bool Closed = false;
 std::function<void(const std::string &)> Sink;
 
