Space the tries to replace a leaving primary, and let the model obey a hold

The daemon's router passes over only owners that it cannot reach, so the fault was the model's. (2) A try that a write had overtaken began anew at once: four in 0.4 s used up the terms agreed beforehand, and the next came 3 s later. Ruled out: terms not read (refreshed in time), replicas that lag (level at each try), transactions open at the hold (they end within 30 ms). Change: the model's entry stays with an owner that holds; such a try is repeated after 0.7 s. The new case with another owner's writes fails without the change (terms exhausted, no new primary in 2.4 s).

--- a/include/peridotfall/failover.h
+++ b/include/peridotfall/failover.h
@@ -194,6 +194,7 @@
 struct Handover {
   TargetName To;
   TimePoint Began;
+  bool Tried = false; ///< The change itself has begun.
 };
 
 /// What is known of the platform's object.
--- a/src/failover/handover.cpp
+++ b/src/failover/handover.cpp
@@ -12,6 +12,14 @@
 /// Between two attempts, so that a replica that lags for long does not make
 /// every write wait.
 constexpr milliseconds RetryHandover{3'000};
+/// The same where the replica was level and a write reached the old primary
+/// before the fence did. Load: a target that changes its owner as it leaves;
+/// daemons that do not know the new one yet send writes by others, which the
+/// hold does not reach. Harm of no pause: four tries in 0.4 s use up the terms
+/// agreed beforehand, and the target works on for 3 s more. Reason: daemons
+/// hear of a new owner within 0.4 s, and four tries fit into the 3 s after
+/// which a leaving target may get no new work.
+constexpr milliseconds RetryOvertaken{700};
 
 const WatchedTarget *pickReplica(const GroupState &group, TimePoint now) {
   const WatchedTarget *best = nullptr;
@@ -50,12 +58,17 @@
   auto *primary = findWatched(group, group.Primary);
   if (!primary || primary->Owner != group.Self || group.Running)
     return;
+  if (group.Leaving && group.Leaving->Tried) {
+    endHandover(group, now, out);
+    group.NextHandover = now + RetryOvertaken;
+    return;
+  }
   if (!group.Leaving) {
     const auto *replica = pickReplica(group, now);
     if (!primary->Report.Leaving || !hasLeader(group, now) ||
         now < group.NextHandover || !replica)
       return;
-    group.Leaving = Handover{replica->Name, now};
+    group.Leaving = Handover{replica->Name, now, false};
     out.push_back(HoldWrites{now + group.Limits.HandoverLimit});
   }
   auto *replica = findWatched(group, group.Leaving->To);
@@ -64,6 +77,7 @@
     return;
   }
   if (isLevel(group, *primary, *replica)) {
+    group.Leaving->Tried = true;
     if (beginCampaign(group, replica->Name, now, out))
       group.Running->OldPrimary = primary->Name;
     else
--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <utility>
 
 using namespace peridotfall;
 using namespace peridotfall::simulation;
@@ -309,6 +310,31 @@
   CHECK(Sim.Targets[Sim.leader()].Log[1].second == 5);
 }
 
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, leaving while another owner still writes, is "
+                  "replaced within the limit") {
+  // Callers see nothing. The target changes its owner as it leaves, and for
+  // 0.6 s daemons that do not know the new one send writes by others, which
+  // the hold does not reach. So the old primary has more than the replica
+  // each time it is fenced, and leads again. Each try uses up terms that were
+  // agreed beforehand, and no new ones come while the platform is away.
+  constexpr milliseconds Unsettled{600};
+  constexpr milliseconds LeavingLimit{3'000};
+  Sim.ShipLag = milliseconds(20);
+  Sim.Platform.Down = true;
+  Sim.Targets[0].Report.Leaving = true;
+  auto settled = Sim.now() + Unsettled;
+  std::size_t begun = 0;
+  while (Sim.now() < settled) {
+    auto before = std::exchange(begun, count<CampaignBegun>());
+    if (begun != before)
+      Sim.write(0, begun);
+    Sim.runFor(std::chrono::microseconds(50));
+  }
+  CHECK(count<TermsExhausted>() == 0);
+  CHECK(newLeader(LeavingLimit - Unsettled));
+}
+
 TEST_CASE("group, an hour with jitter and pauses under the limit, keeps its "
           "primary") {
   // Targets and owners stop for just less than the limit, again and again;
--- a/tests/proof/entry.cpp
+++ b/tests/proof/entry.cpp
@@ -131,8 +131,11 @@
     answered(op, request, notRun(request, AnswerCode::Unavailable, "no owner"));
     return;
   }
-  // A failed owner is passed over, until the membership knows of it.
-  auto rank = static_cast<std::size_t>(op->Attempts - 1) / 2 % owners.size();
+  // A failed owner is passed over, until the membership knows of it. One that
+  // holds writes back for a hand-over is not: another owner would send them
+  // past it.
+  auto failed = static_cast<std::size_t>(op->Attempts - op->Held - 1) / 2;
+  auto rank = failed % owners.size();
   sendTo(op, owners[rank].Vm, request);
 }
 
@@ -185,6 +188,8 @@
     op->OutcomeInDoubt = true;
   if (answer.Code == AnswerCode::Behind)
     op->PrimaryNext = true;
+  if (answer.Detail == HandoverDetail)
+    ++op->Held;
   // Sent again only where it cannot run twice by that.
   bool mayRepeat = op->Request.Mode != Access::Write ||
                    !op->Request.Key.empty() || !At.Guards.NoBlindRepeat;
--- a/tests/proof/entry.h
+++ b/tests/proof/entry.h
@@ -65,6 +65,7 @@
     OnReply Done;
     TimePoint Deadline;
     int Attempts = 0;
+    int Held = 0; ///< Attempts that an owner refused for a hand-over.
     bool PrimaryNext = false;
     bool OutcomeInDoubt = false;
     GroupView SentView; ///< Of the last attempt.
--- a/tests/proof/owner.cpp
+++ b/tests/proof/owner.cpp
@@ -98,8 +98,9 @@
     if (!work->Done || held) {
       pool.Queue.pop_front();
       if (work->Done)
-        std::exchange(work->Done, nullptr)(notRun(
-            work->Request, AnswerCode::Unavailable, "hand-over", RetryAfter));
+        std::exchange(work->Done,
+                      nullptr)(notRun(work->Request, AnswerCode::Unavailable,
+                                      HandoverDetail, RetryAfter));
       continue;
     }
     if (pool.Idle.empty()) {
--- a/tests/proof/owner.h
+++ b/tests/proof/owner.h
@@ -18,6 +18,9 @@
 
 using OnAnswer = std::function<void(StatementAnswer)>;
 
+/// What an owner says of a write that it holds back.
+inline constexpr auto HandoverDetail = "hand-over";
+
 class Owner {
 public:
   /// \param most connections to one target.
--- a/tests/proof/safeguards_test.cpp
+++ b/tests/proof/safeguards_test.cpp
@@ -82,13 +82,13 @@
   CHECK(runLeaving(1, Before, &World::leave, true).empty());
 }
 
-// Known red (KNOWN-RED.txt); it has to fail until the fault is mended. The
-// primary of a group that has just begun leaves. The callers see nothing, but
-// the target gets work for longer than the limit.
+// The primary of a group that has just begun leaves, and the daemon that owns
+// it ends at the same time. Callers see nothing. Daemons that do not know the
+// new owner send writes by others, past the hold, so the first try to replace
+// the primary fails; the next one must come within the limit.
 TEST_CASE("safeguards, leaving primary of a new group, gets no new work after "
-          "the limit" *
-          doctest::should_fail()) {
+          "the limit") {
   constexpr milliseconds Before{1'500};
-  for (std::uint64_t seed : {37, 79})
+  for (std::uint64_t seed : {37, 43, 57, 79, 184})
     CHECK(runLeaving(seed, Before, &World::leave, true).empty());
 }
