Count waits, answers, ages and the parts of a gap; take decisions out of platform/

Change: waits by what they are for, targets' answers, the age of reads at replicas, each part of a change of primary, writes on the store and the age of its last answer. The stand-in run has one daemon whose log nobody reads (its pipe must be full) and one whose standard output is closed, and both must serve.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,7 +1,7 @@
 // peridotfalld: the entry daemon.
 
 #include "daemon/daemon.h"
-#include "node.h"
+#include "run.h"
 #include "telemetry/events.h"
 #include "telemetry/log_writer.h"
 
--- a/src/proxy/gone_members.cpp
+++ b/src/proxy/gone_members.cpp
@@ -7,7 +7,7 @@
 
 std::vector<VmName> GoneMembers::update(const std::vector<VmName> &listed,
                                         const std::vector<Member> &live,
-                                        TimePoint now) {
+                                        bool holdsDuty, TimePoint now) {
   std::set<VmName> alive;
   for (const auto &it : live)
     alive.insert(it.Vm);
@@ -19,7 +19,8 @@
     auto before = MissingSince.find(it);
     auto since = before == MissingSince.end() ? now : before->second;
     next[it] = since;
-    if (now - since >= limits::DaemonGone && out.size() < limits::MostRemoved)
+    if (holdsDuty && now - since >= limits::DaemonGone &&
+        out.size() < limits::MostRemoved)
       out.push_back(it);
   }
   MissingSince = std::move(next);
--- a/src/proxy/gone_members.h
+++ b/src/proxy/gone_members.h
@@ -31,9 +31,12 @@
 class GoneMembers {
 public:
   /// \param listed daemons that have an object. \param live those alive.
+  /// \param holdsDuty whether this daemon holds the failover duty: only that
+  /// one removes, so that the calls are not made by every daemon.
   /// \return some that have been missing for long.
   std::vector<VmName> update(const std::vector<VmName> &listed,
-                             const std::vector<Member> &live, TimePoint now);
+                             const std::vector<Member> &live, bool holdsDuty,
+                             TimePoint now);
 
 private:
   std::map<VmName, TimePoint> MissingSince;
--- a/src/proxy/group_view.cpp
+++ b/src/proxy/group_view.cpp
@@ -68,4 +68,15 @@
   return it->Head;
 }
 
+Duration GroupView::ageOf(Position at, TimePoint now) const {
+  if (Samples.empty())
+    return {};
+  // All that was in the log when a head no later than this was asked for.
+  auto held = Samples.front().Asked;
+  for (const auto &it : Samples)
+    if (it.Head <= at)
+      held = it.Asked;
+  return Samples.back().Head <= at ? Duration{} : now - held;
+}
+
 } // namespace peridotfall::proxy
--- a/src/proxy/group_view.h
+++ b/src/proxy/group_view.h
@@ -45,6 +45,8 @@
   /// \return the least position that holds all that was acknowledged longer
   /// than \p maxAge ago; nothing when no position is known young enough.
   std::optional<Position> positionFor(Duration maxAge, TimePoint now) const;
+  /// \return how old a view is at most that holds the log up to \p at.
+  Duration ageOf(Position at, TimePoint now) const;
 
 private:
   struct Claim {
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -112,7 +112,12 @@
   std::map<GroupName, std::vector<TargetEntry>> byGroup;
   for (const auto &[name, it] : targets) {
     if (!Pools.contains(name)) {
-      Pools[name] = std::make_unique<TargetPool>(it, Port, Time, LastLease);
+      auto &pool = Pools[name];
+      pool = std::make_unique<TargetPool>(it, Port, Time, LastLease);
+      pool->OnWaited = [this](Duration waited) {
+        if (OnWaited)
+          OnWaited(waited);
+      };
       telemetry::log(Event::TargetFound, {field("target", name.Value),
                                           field("group", it.Group.Value),
                                           field("address", it.Address),
@@ -191,13 +196,16 @@
   return nullptr;
 }
 
+VmName Groups::pathTo(const TargetName &target) {
+  auto ways = Ways.find(target);
+  auto *here = pool(target);
+  if (ways == Ways.end() || !here)
+    return Self.Vm;
+  return ways->second.choose(Self.Vm, here->isFree()).value_or(Self.Vm);
+}
+
 LeaseId Groups::begin(const LeaseRequest &request, Batch first, OnBatch done) {
-  auto ways = Ways.find(request.Target);
-  auto *here = pool(request.Target);
-  std::optional<VmName> by;
-  if (ways != Ways.end() && here)
-    by = ways->second.choose(Self.Vm, here->isFree());
-  return beginBy(by.value_or(Self.Vm), request, std::move(first),
+  return beginBy(pathTo(request.Target), request, std::move(first),
                  std::move(done));
 }
 
@@ -341,12 +349,7 @@
 }
 
 void Groups::askLead(const TargetName &target) {
-  auto ways = Ways.find(target);
-  auto *here = pool(target);
-  if (ways == Ways.end() || !here)
-    return;
-  askLeadBy(ways->second.choose(Self.Vm, here->isFree()).value_or(Self.Vm),
-            target);
+  askLeadBy(pathTo(target), target);
 }
 
 /// A plain transaction is refused by a target that does not lead, so beginning
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -112,6 +112,8 @@
   /// \param plain whether the batch's transaction is one that may write.
   void learn(Group &group, const TargetName &target, const Batch &batch,
              const BatchResult &result, bool plain, TimePoint sent);
+  /// Called with how long each lease has waited for a connection here.
+  std::function<void(Duration)> OnWaited;
   /// Called whenever a group's leader becomes known.
   std::function<void(const GroupName &)> OnLeader;
   void tick();
@@ -129,6 +131,8 @@
   }
 
 private:
+  /// \return by which daemon the target is asked now.
+  VmName pathTo(const TargetName &target);
   LeaseId beginBy(const VmName &by, const LeaseRequest &request, Batch first,
                   OnBatch done);
   /// Ends a batch at the next tick: there is no connection for it.
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -11,6 +11,11 @@
 constexpr std::array<const char *, StatementOutcomes> OutcomeNames{
     "served", "target_error", "not_run", "unknown"};
 
+constexpr std::array<const char *, WaitPlaces> WaitNames{"primary", "replica",
+                                                         "slot", "connection"};
+constexpr std::array<const char *, ChangeParts> ChangeNames{
+    "notice", "evidence", "choice", "call", "lead"};
+
 /// Seconds. From a local read of a few milliseconds to the longest limit of a
 /// statement; a change of primary shows between 0.5 and 2.5.
 prometheus::Histogram::BucketBoundaries buckets() {
@@ -62,10 +67,28 @@
                          "Reads that ran, by the target's role.");
   it.ReplicaReads = &reads.Add({{"served_by", "replica"}});
   it.PrimaryReads = &reads.Add({{"served_by", "primary"}});
-  it.WaitSeconds =
+  it.ReplicaReadAge =
+      &histograms(to, "peridotfall_replica_read_age_seconds",
+                  "Bound on how old the view of a read at a replica was.")
+           .Add({}, buckets());
+  it.RefusedWait =
       &histograms(to, "peridotfall_refused_wait_seconds",
                   "Time that a statement had waited when it was refused.")
            .Add({}, buckets());
+  auto &waits = histograms(to, "peridotfall_wait_seconds",
+                           "Time that statements waited before a target had "
+                           "them, by what they waited for.");
+  for (std::size_t n = 0; n < WaitPlaces; ++n)
+    it.Waits[n] = &waits.Add({{"for", WaitNames[n]}}, buckets());
+  it.Answers = &counters(to, "peridotfall_target_answers_total",
+                         "Answers of targets to statements, by what they say; "
+                         "none: the connection was lost or silent.");
+  it.AnswersOk = &it.Answers->Add({{"answer", "ok"}});
+  auto &parts = histograms(to, "peridotfall_primary_change_seconds",
+                           "Parts of the changes of primary that this daemon "
+                           "decided.");
+  for (std::size_t n = 0; n < ChangeParts; ++n)
+    it.ChangeSeconds[n] = &parts.Add({{"part", ChangeNames[n]}}, buckets());
   it.Promotions = &counters(to, "peridotfall_promotions_total",
                             "Promotions that this daemon decided.")
                        .Add({});
@@ -76,11 +99,16 @@
            .Add({});
   it.StoreAnswers = &counters(
       to, "peridotfall_store_calls_total",
-      "Reads of the platform's store, by kind and whether it answered.");
+      "Calls on the platform's store, by kind of objects and whether it "
+      "answered.");
   it.Now = &prometheus::BuildGauge()
                 .Name("peridotfall_now")
                 .Help("Present values; the label says of what.")
                 .Register(to);
+  it.StoreAge = &prometheus::BuildGauge()
+                     .Name("peridotfall_store_answer_age_seconds")
+                     .Help("Time since the store last answered, by kind.")
+                     .Register(to);
   return it;
 }
 
@@ -93,16 +121,43 @@
 
 void countRefusal(ProxyMetrics &it, const std::string &why, Duration waited) {
   it.Refusals->Add({{"reason", why}}).Increment();
-  it.WaitSeconds->Observe(secondsOf(waited));
+  it.RefusedWait->Observe(secondsOf(waited));
 }
 
 void countRetry(ProxyMetrics &it, const std::string &why) {
   it.Retries->Add({{"reason", why}}).Increment();
 }
 
-void countStoreAnswer(ProxyMetrics &it, const std::string &kind,
-                      bool answered) {
-  it.StoreAnswers->Add({{"kind", kind}, {"answered", answered ? "yes" : "no"}})
+void countWait(ProxyMetrics &it, WaitPlace place, Duration waited) {
+  it.Waits[static_cast<std::size_t>(place)]->Observe(secondsOf(waited));
+}
+
+void countAnswer(ProxyMetrics &it, const std::optional<StatementError> &error) {
+  if (error)
+    it.Answers->Add({{"answer", nameOf(error->Kind)}}).Increment();
+  else
+    it.AnswersOk->Increment();
+}
+
+void countNoAnswer(ProxyMetrics &it) {
+  it.Answers->Add({{"answer", "none"}}).Increment();
+}
+
+void countReplicaRead(ProxyMetrics &it, Duration age) {
+  it.ReplicaReads->Increment();
+  it.ReplicaReadAge->Observe(secondsOf(age));
+}
+
+void countChangePart(ProxyMetrics &it, ChangePart part, Duration took) {
+  it.ChangeSeconds[static_cast<std::size_t>(part)]->Observe(secondsOf(took));
+}
+
+void countStoreCall(ProxyMetrics &it, const std::string &kind, StoreCall call,
+                    bool answered) {
+  it.StoreAnswers
+      ->Add({{"kind", kind},
+             {"call", call == StoreCall::Read ? "read" : "write"},
+             {"answered", answered ? "yes" : "no"}})
       .Increment();
 }
 
@@ -119,6 +174,8 @@
   set("holds_failover_duty", now.HoldsDuty ? 1 : 0);
   set("store_kinds_lost", static_cast<double>(now.KindsLost));
   set("log_lines_dropped", static_cast<double>(now.DroppedLines));
+  for (const auto &age : now.StoreAges)
+    it.StoreAge->Add({{"kind", age.Kind}}).Set(secondsOf(age.Age));
   return telemetry::writeText(*it.Registry);
 }
 
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -15,6 +15,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
+#include <vector>
 
 namespace peridotfall::proxy {
 
@@ -27,6 +28,35 @@
 inline constexpr std::size_t StatementOutcomes = 4;
 inline constexpr std::size_t Guarantees = 3;
 
+/// For what a statement waits before a target has it.
+enum class WaitPlace : std::uint8_t {
+  Primary,    ///< One that is known and reached.
+  Replica,    ///< To catch up with what the read must see.
+  Slot,       ///< Of a target that refused it for load.
+  Connection, ///< Of its holder, for its own callers and other daemons'.
+};
+inline constexpr std::size_t WaitPlaces = 4;
+
+/// The parts of a change of primary, as the daemon that decides it sees them.
+enum class ChangePart : std::uint8_t {
+  Notice,   ///< From the last sign of the old primary to the suspicion.
+  Evidence, ///< Asking other daemons and the store.
+  Choice,   ///< Asking the replicas what they have received.
+  Call,     ///< On the platform.
+  Lead,     ///< Until the new primary is known to lead.
+};
+inline constexpr std::size_t ChangeParts = 5;
+
+enum class StoreCall : std::uint8_t { Read, Write };
+
+/// How long ago the store last answered for a kind of objects.
+struct StoreAge {
+  std::string Kind;
+  Duration Age{};
+
+  auto operator<=>(const StoreAge &) const = default;
+};
+
 /// Values that are worked out when they are asked for.
 struct ProxyGauges {
   std::size_t Sessions = 0;
@@ -37,6 +67,7 @@
   std::uint64_t Version = 0; ///< Of the configuration in force.
   bool HoldsDuty = false;
   std::size_t KindsLost = 0; ///< Kinds of the store that do not answer.
+  std::vector<StoreAge> StoreAges;
   std::uint64_t DroppedLines = 0;
 };
 
@@ -53,11 +84,17 @@
   Family Retries = nullptr;
   Counter ReplicaReads = nullptr;
   Counter PrimaryReads = nullptr;
-  Histogram WaitSeconds = nullptr; ///< For a primary or a connection.
+  Histogram ReplicaReadAge = nullptr;
+  Histogram RefusedWait = nullptr;
+  std::array<Histogram, WaitPlaces> Waits{};
+  Counter AnswersOk = nullptr;
+  Family Answers = nullptr; ///< Others than success, by what they say.
+  std::array<Histogram, ChangeParts> ChangeSeconds{};
   Counter Promotions = nullptr;
   Counter RecordsLacked = nullptr;
   Family StoreAnswers = nullptr;
   prometheus::Family<prometheus::Gauge> *Now = nullptr;
+  prometheus::Family<prometheus::Gauge> *StoreAge = nullptr;
 };
 
 ProxyMetrics makeProxyMetrics();
@@ -67,7 +104,16 @@
                     Duration took);
 void countRefusal(ProxyMetrics &it, const std::string &why, Duration waited);
 void countRetry(ProxyMetrics &it, const std::string &why);
-void countStoreAnswer(ProxyMetrics &it, const std::string &kind, bool answered);
+void countWait(ProxyMetrics &it, WaitPlace place, Duration waited);
+/// \param error of the target's answer; nothing: a success.
+void countAnswer(ProxyMetrics &it, const std::optional<StatementError> &error);
+/// A statement that a target was sent and did not answer.
+void countNoAnswer(ProxyMetrics &it);
+/// \param age bound on how old the replica's view was.
+void countReplicaRead(ProxyMetrics &it, Duration age);
+void countChangePart(ProxyMetrics &it, ChangePart part, Duration took);
+void countStoreCall(ProxyMetrics &it, const std::string &kind, StoreCall call,
+                    bool answered);
 
 /// \return the Prometheus text format, the counts of events included.
 std::string writeText(ProxyMetrics &it, const ProxyGauges &now);
--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -27,7 +27,7 @@
 
 Mirror::Mirror(MirrorOptions options, ObjectSource &source, const Clock &clock)
     : Set(std::move(options)), Source(source), Time(clock),
-      Pause(Set.Backoff, Set.Seed) {}
+      Pause(Set.Backoff, Set.Seed), LastAnswer(clock.now()) {}
 
 void Mirror::start() { refresh(); }
 
@@ -175,6 +175,7 @@
 /// Harm: on its return no target is known, and everything is refused. The
 /// writers come back within a known time; an entry missing after it is gone.
 void Mirror::regained() {
+  LastAnswer = Time.now();
   if (OnAnswer)
     OnAnswer(true);
   auto failures = Pause.failures();
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -145,6 +145,8 @@
   void refresh(std::function<void()> done = nullptr);
   /// \return whether the store answered last.
   bool isCurrent() const { return Current; }
+  /// \return when the store last answered; the start if it never did.
+  TimePoint lastAnswer() const { return LastAnswer; }
   const std::string &kind() const { return Set.Kind; }
   const Objects &objects() const { return Copy; }
   /// \return the store's revision that the copy is of.
@@ -183,6 +185,7 @@
   std::uint64_t Revision = 0;
   std::uint64_t Round = 0; ///< Answers of older rounds are passed over.
   std::optional<TimePoint> NextTry;
+  TimePoint LastAnswer;
   bool Current = false;
   bool EverCurrent = false;
   bool MustList = true;
--- /dev/null
+++ b/src/proxy/own_record.cpp
@@ -0,0 +1,27 @@
+#include "proxy/own_record.h"
+
+namespace peridotfall::proxy {
+
+bool OwnRecord::takeListed(std::optional<std::uint64_t> listed) {
+  if (!listed) {
+    Written = false;
+    return false;
+  }
+  // What this daemon wrote itself is no forerunner's.
+  if (Written || Writing || *listed < Incarnation)
+    return false;
+  Incarnation = *listed + 1;
+  return true;
+}
+
+bool OwnRecord::isDue(bool listCurrent, TimePoint now) const {
+  return listCurrent && !Written && !Writing && now >= NotBefore.value_or(now);
+}
+
+void OwnRecord::writeEnded(bool done, TimePoint now) {
+  Writing = false;
+  Written = done;
+  NotBefore = now + limits::AnnouncePause;
+}
+
+} // namespace peridotfall::proxy
--- a/src/proxy/session_units.cpp
+++ b/src/proxy/session_units.cpp
@@ -131,7 +131,7 @@
     return;
   }
   if (choice.WaitBefore > limits::NoWait) {
-    unit.RunAt = now + choice.WaitBefore;
+    pause(unit, WaitPlace::Replica, now + choice.WaitBefore);
     return;
   }
   sendFirst(session, choice.Target, false, least);
@@ -145,10 +145,37 @@
 void Sessions::park(Session &session) {
   auto &unit = *session.Current;
   unit.Parked = true;
+  beginWait(unit, WaitPlace::Primary);
   if (Time.now() >= primaryWaitEnd(unit))
     refuse(session, limits::PrimaryRetryAfter, "no primary to run it");
 }
 
+void Sessions::pause(Unit &unit, WaitPlace place, TimePoint until) {
+  beginWait(unit, place);
+  unit.RunAt = until;
+}
+
+void Sessions::beginWait(Unit &unit, WaitPlace place) {
+  if (unit.WaitsSince && unit.WaitsFor == place)
+    return;
+  endWait(unit);
+  unit.WaitsSince = Time.now();
+  unit.WaitsFor = place;
+}
+
+void Sessions::endWait(Unit &unit) {
+  if (unit.WaitsSince)
+    countWait(Counts, unit.WaitsFor, Time.now() - *unit.WaitsSince);
+  unit.WaitsSince.reset();
+}
+
+void Sessions::countAnswers(const BatchResult &result) {
+  for (const auto &it : result.Answers)
+    countAnswer(Counts, it.Error);
+  if (result.End == BatchEnd::Lost)
+    countNoAnswer(Counts);
+}
+
 Batch Sessions::composeFirst(const Session &session, bool atPrimary,
                              std::optional<Position> notBefore) const {
   const auto &unit = *session.Current;
@@ -207,6 +234,7 @@
   // there: waiting as long as a write, it served no more in time.
   auto wait = unit.PrimaryOnly ? primaryWaitEnd(unit) - now
                                : Duration(limits::ReadWait);
+  endWait(unit);
   ++unit.Tries;
   unit.Target = target;
   unit.Sent = batch;
@@ -225,6 +253,7 @@
                       const BatchResult &result) {
   const auto &unit = *session.Current;
   auto now = Time.now();
+  countAnswers(result);
   AnswerReport report;
   report.Target = unit.Target;
   report.FromPrimary = group.View.leader() == unit.Target;
@@ -302,15 +331,22 @@
       session.Own = std::max(session.Own, *answer.At);
   }
   if (reads(unit.It) && answer.ok())
-    (unit.Sent.Statements[0].NotBefore ? Counts.ReplicaReads
-                                       : Counts.PrimaryReads)
-        ->Increment();
+    countRead(unit, answer);
   deliver(session, std::move(answer));
 }
 
+void Sessions::countRead(const Unit &unit, const Answer &answer) {
+  auto *group = Targets.find(unit.Served.Group);
+  if (!unit.Sent.Statements[0].NotBefore)
+    Counts.PrimaryReads->Increment();
+  else if (group && answer.At)
+    countReplicaRead(Counts, group->View.ageOf(*answer.At, Time.now()));
+}
+
 void Sessions::runHeld(Session &session) {
   auto &unit = *session.Current;
   auto now = Time.now();
+  endWait(unit);
   Batch batch;
   batch.Session = session.Set;
   if (unit.It.Kind == StatementKind::Execute)
@@ -329,6 +365,7 @@
 
 void Sessions::onHeld(Session &session, const BatchResult &result) {
   auto &unit = *session.Current;
+  countAnswers(result);
   bool plain =
       !session.Open.ReadOnly || session.Open.Served.Reads == Guarantee::Primary;
   if (auto *group = Targets.find(unit.Served.Group))
@@ -343,7 +380,7 @@
   auto again = Time.now() + limits::BusyPause;
   if (busy && stillOpen && result.Kept &&
       again + limits::LeastTry < unit.Until) {
-    unit.RunAt = again;
+    pause(unit, WaitPlace::Slot, again);
     return;
   }
   if (unit.It.Kind == StatementKind::Commit) {
@@ -407,10 +444,10 @@
 /// that grow so that the tries are not a load of their own.
 void Sessions::retryBusy(Session &session, TimePoint now) {
   auto &unit = *session.Current;
-  auto pause = std::min(limits::BusyPause * unit.Tries, limits::MostBusyPause);
-  if (now + pause >= primaryWaitEnd(unit))
+  auto span = std::min(limits::BusyPause * unit.Tries, limits::MostBusyPause);
+  if (now + span >= primaryWaitEnd(unit))
     refuse(session, limits::BusyRetryAfter, nameOf(ErrorKind::Busy));
   else
-    unit.RunAt = now + pause;
+    pause(unit, WaitPlace::Slot, now + span);
 }
 } // namespace peridotfall::proxy
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -16,6 +16,9 @@
                    const Clock &clock)
     : Targets(groups), Port(port), Counts(metrics), Time(clock) {
   Targets.OnLeader = [this](const GroupName &group) { resume(group); };
+  Targets.OnWaited = [this](Duration waited) {
+    countWait(Counts, WaitPlace::Connection, waited);
+  };
 }
 
 Sessions::Session *Sessions::find(CallerId caller) {
@@ -297,6 +300,7 @@
 void Sessions::refuse(Session &session, milliseconds retryAfter,
                       const char *why) {
   auto &unit = *session.Current;
+  endWait(unit);
   countStatement(Counts, unit.Served.Reads, StatementOutcome::NotRun,
                  Time.now() - unit.Began);
   countRefusal(Counts, why, Time.now() - unit.Began);
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -116,6 +116,8 @@
     bool Placed = false;            ///< Counts at its target.
     bool Parked = false;            ///< Waits for a primary.
     std::optional<TimePoint> RunAt; ///< Waits for a replica or a slot.
+    std::optional<TimePoint> WaitsSince;
+    WaitPlace WaitsFor = WaitPlace::Primary;
     TargetName Avoid;
     TargetName Target;
     LeaseId Lease;
@@ -155,6 +157,12 @@
   /// \return when a statement is given up on that waits for a primary.
   static TimePoint primaryWaitEnd(const Unit &unit);
   void park(Session &session);
+  /// Lets the statement wait until \p until and be placed again then.
+  void pause(Unit &unit, WaitPlace place, TimePoint until);
+  void beginWait(Unit &unit, WaitPlace place);
+  void endWait(Unit &unit);
+  void countAnswers(const BatchResult &result);
+  void countRead(const Unit &unit, const Answer &answer);
   Batch composeFirst(const Session &session, bool atPrimary,
                      std::optional<Position> notBefore) const;
   void sendFirst(Session &session, const TargetName &target, bool atPrimary,
--- a/src/proxy/succession.cpp
+++ b/src/proxy/succession.cpp
@@ -186,6 +186,8 @@
     return;
   case Step::Settling: {
     bool leads = group.View.leader() == change.Chosen && !group.LeaderMissing;
+    if (leads)
+      countChangePart(Counts, ChangePart::Lead, now - change.Since);
     if (leads || now - change.Since >= limits::PromotionSettle)
       change = {};
     return;
@@ -206,6 +208,7 @@
     return;
   change.At = Step::Asking;
   change.Since = now;
+  countChangePart(Counts, ChangePart::Notice, now - *group.LeaderMissing);
   auto leader = group.View.leader();
   telemetry::log(Event::PrimarySuspected,
                  {field("group", name.Value),
@@ -258,8 +261,11 @@
 
 void Succession::beginChoice(const GroupName &name, Group &group,
                              Change &change) {
+  auto now = Time.now();
+  if (change.At == Step::Asking)
+    countChangePart(Counts, ChangePart::Evidence, now - change.Since);
   change.At = Step::Choosing;
-  change.Since = Time.now();
+  change.Since = now;
   change.Heard.clear();
   change.Asked.clear();
   askStatus(name, group, change);
@@ -363,8 +369,11 @@
 }
 
 void Succession::call(const GroupName &name, Change &change) {
+  auto now = Time.now();
+  if (change.At == Step::Choosing)
+    countChangePart(Counts, ChangePart::Choice, now - change.Since);
   change.At = Step::Calling;
-  change.Since = Time.now();
+  change.Since = now;
   ++change.Calls;
   Port.promote(name, change.Chosen, change.Number);
 }
@@ -385,6 +394,7 @@
        field("took_ms",
              std::chrono::duration_cast<milliseconds>(now - change.Since)
                  .count())});
+  countChangePart(Counts, ChangePart::Call, now - change.Since);
   constexpr unsigned MostCalls = 2;
   if (outcome == CallOutcome::Done) {
     change.At = Step::Settling;
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -39,8 +39,9 @@
   LeaseId id{++LastLease};
   auto now = Time.now();
   auto until = now + (Retired ? Duration{} : request.Wait);
-  Waiter waiter{id,    request.Priority,   std::move(first), std::move(done),
-                until, now + request.Total};
+  Waiter waiter{
+      id,    request.Priority,   std::move(first), std::move(done), now,
+      until, now + request.Total};
   auto place = std::find_if(Waiting.begin(), Waiting.end(), [&](const auto &w) {
     return w.Priority > request.Priority;
   });
@@ -109,6 +110,7 @@
       break;
     auto waiter = std::move(Waiting.front());
     Waiting.pop_front();
+    noteWait(waiter);
     start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done),
           waiter.End);
   }
@@ -317,7 +319,13 @@
   }
 }
 
+void TargetPool::noteWait(const Waiter &waiter) const {
+  if (OnWaited)
+    OnWaited(Time.now() - waiter.Since);
+}
+
 void TargetPool::refuse(Waiter &waiter, const char *why) {
+  noteWait(waiter);
   BatchResult result;
   result.Why = {ErrorKind::Busy, why};
   result.TargetUnreachable = Failing;
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -9,6 +9,7 @@
 #include "proxy/lease.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 
@@ -63,6 +64,9 @@
   TargetPool(TargetEntry target, TargetPort &port, const Clock &clock,
              std::uint64_t &lastLease);
 
+  /// Called with how long each lease has waited for its connection.
+  std::function<void(Duration)> OnWaited;
+
   LeaseId begin(const LeaseRequest &request, Batch first, OnBatch done);
   void run(LeaseId lease, Batch next, OnBatch done);
   void abandon(LeaseId lease);
@@ -117,6 +121,7 @@
     unsigned Priority = 0;
     Batch First;
     OnBatch Done;
+    TimePoint Since;
     TimePoint Until;
     TimePoint End;
   };
@@ -136,6 +141,7 @@
   void logLost(const Running &running, const char *why) const;
   void closeIdle();
   void refuse(Waiter &waiter, const char *why);
+  void noteWait(const Waiter &waiter) const;
   void refuseWaiting(const char *why);
 
   TargetEntry Target;
--- a/tests/platform/run.py
+++ b/tests/platform/run.py
@@ -6,17 +6,23 @@
 """
 
 import asyncio
+import fcntl
 import os
 import random
 import signal
 import sys
 import tempfile
+import termios
 
 from store import Store, serve_http
 from targets import Group, Target
 
 STORE, PROVIDER, TARGETS, DAEMONS = 7600, 7601, 7610, 7620
 ZONES = {"press": "tartu", "depot": "tartu", "desk": "tallinn"}
+UNREAD = "press"  # Nobody reads what this zone's daemon logs.
+CLOSED = "desk"  # And this one's standard output is closed.
+PIPE_BYTES = 4096  # Full after some thirty lines.
+LONGEST_LINE = 512
 NOT_RUN = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
 CALLERS = 9
 
@@ -176,6 +182,7 @@
         self.store = Store()
         self.group = Group("ledger", self.store)
         self.processes = {}
+        self.unread = -1
         self.fence = 0
 
     async def start(self):
@@ -222,7 +229,7 @@
                     last=port + 5,
                 )
             )
-        log = open(os.path.join(self.folder, f"{zone}.log"), "a")
+        log = self.open_log(zone)
         self.processes[zone] = await asyncio.create_subprocess_exec(
             self.program,
             "--on_platform",
@@ -230,9 +237,47 @@
             stdout=log,
             stderr=log,
         )
-        log.close()
+        os.close(log)
         await self.until_ready(port + 1)
 
+    def open_log(self, zone):
+        """A log that is not read must not keep a daemon from serving."""
+        if zone == UNREAD:
+            self.unread, end = os.pipe()
+            fcntl.fcntl(end, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+            return end
+        if zone == CLOSED:
+            read_end, end = os.pipe()
+            os.close(read_end)
+            return end
+        path = os.path.join(self.folder, f"{zone}.log")
+        return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+
+    def log_is_full(self):
+        """Whether the pipe that nobody reads has no room for a line."""
+        waiting = fcntl.ioctl(self.unread, termios.FIONREAD, bytes(4))
+        return int.from_bytes(waiting, sys.byteorder) > PIPE_BYTES - LONGEST_LINE
+
+    def logs(self):
+        for name in sorted(os.listdir(self.folder)):
+            if name.endswith(".log"):
+                with open(os.path.join(self.folder, name)) as file:
+                    yield file.read()
+
+    async def metric(self, zone, name):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.port(zone) + 3
+        )
+        writer.write(b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")
+        text = ""
+        while line := await asyncio.wait_for(reader.readline(), 5):
+            text += line.decode()
+            if line.startswith(name.encode()):
+                break
+        writer.close()
+        found = [it for it in text.splitlines() if it.startswith(name)]
+        return float(found[-1].split(" ")[-1]) if found else 0
+
     async def until_ready(self, port):
         for _ in range(200):
             try:
@@ -305,14 +350,23 @@
             await asyncio.gather(
                 trouble(world, seconds), *(it.run(until) for it in callers)
             )
+            served_by = {
+                zone: await world.metric(
+                    zone,
+                    'peridotfall_statements_total{outcome="served",route="primary"}',
+                )
+                for zone in ZONES
+            }
         finally:
             for process in world.processes.values():
                 process.kill()
         wrong = findings(world, callers)
+        if not world.log_is_full():
+            wrong.append("the log that nobody reads is not full: nothing is shown")
+        wrong += [f"{it} served nothing" for it in ZONES if not served_by[it]]
         if wrong:
-            for zone in ZONES:
-                with open(os.path.join(folder, f"{zone}.log")) as file:
-                    print(file.read())
+            for text in world.logs():
+                print(text)
     served = sum(it.done for it in callers)
     acknowledged = sum(len(it.acknowledged) for it in callers)
     print(
--- a/tests/proxy/gone_members_test.cpp
+++ b/tests/proxy/gone_members_test.cpp
@@ -22,16 +22,25 @@
 } // namespace
 
 TEST_CASE_FIXTURE(GoneFixture, "daemon missing for long, is to be removed") {
-  CHECK(Gone.update(Listed, {member("a")}, Time.now()).empty());
+  CHECK(Gone.update(Listed, {member("a")}, true, Time.now()).empty());
   Time.advance(limits::DaemonGone);
-  CHECK(Gone.update(Listed, {member("a")}, Time.now()) ==
+  CHECK(Gone.update(Listed, {member("a")}, true, Time.now()) ==
         std::vector<VmName>{VmName("b")});
 }
 
 TEST_CASE_FIXTURE(GoneFixture, "daemon heard in between, counts anew") {
-  Gone.update(Listed, {member("a")}, Time.now());
+  Gone.update(Listed, {member("a")}, true, Time.now());
   Time.advance(limits::DaemonGone / 2);
-  Gone.update(Listed, {member("a"), member("b")}, Time.now());
+  Gone.update(Listed, {member("a"), member("b")}, true, Time.now());
   Time.advance(limits::DaemonGone / 2);
-  CHECK(Gone.update(Listed, {member("a")}, Time.now()).empty());
+  CHECK(Gone.update(Listed, {member("a")}, true, Time.now()).empty());
+}
+
+TEST_CASE_FIXTURE(GoneFixture, "daemon missing for long, another holds the "
+                               "duty, is left to that one") {
+  Gone.update(Listed, {member("a")}, false, Time.now());
+  Time.advance(limits::DaemonGone);
+  CHECK(Gone.update(Listed, {member("a")}, false, Time.now()).empty());
+  // The time counts from when it was missed, not from when the duty was taken.
+  CHECK(Gone.update(Listed, {member("a")}, true, Time.now()).size() == 1);
 }
--- a/tests/proxy/succession_test.cpp
+++ b/tests/proxy/succession_test.cpp
@@ -147,6 +147,31 @@
         std::vector<FakeCalls::Promotion>{{TargetName("s"), 11}});
 }
 
+// Writes fail for the time from the primary's death to its successor's first
+// answer; which part of that took how long is counted.
+TEST_CASE_FIXTURE(SuccessionFixture,
+                  "primary replaced, each part of the gap is counted") {
+  hold();
+  run(milliseconds(1'000));
+  crashPrimary();
+  run(milliseconds(680));
+  hear({8, 0});
+  run(milliseconds(100));
+  REQUIRE(Calls.Promotions.size() == 1);
+  Time.advance(milliseconds(40));
+  Duty.takePromoted(GroupName("ledger"), CallOutcome::Done);
+  Entries.at(TargetName("s")).ClaimsPrimary = true;
+  Entries.at(TargetName("s")).Revision = 9;
+  All.takeTargets(Entries);
+  run(milliseconds(100));
+  auto text = writeText(Counts, {});
+  for (const char *part : {"notice", "evidence", "choice", "call", "lead"}) {
+    CAPTURE(part);
+    CHECK(text.find("peridotfall_primary_change_seconds_count{part=\"" +
+                    std::string(part) + "\"} 1\n") != std::string::npos);
+  }
+}
+
 TEST_CASE_FIXTURE(SuccessionFixture,
                   "primary missed, most others reach it, it is not replaced") {
   hold();
