Serve first what can still be answered in time

The goal (latency_goal_ms) was not even decoded. Change: a statement carries what is left of its route's goal, also to the holder of the connections; of one priority those that can still be in time go first. The same order holds for what waited for a primary.

--- a/src/messages/lease.cpp
+++ b/src/messages/lease.cpp
@@ -131,6 +131,10 @@
   out.set_priority(it.Request.Priority);
   out.set_wait_us(toMicros(it.Request.Wait));
   out.set_total_us(toMicros(it.Request.Total));
+  if (it.Request.GoalLeft)
+    out.set_goal_left_us(std::chrono::duration_cast<std::chrono::microseconds>(
+                             *it.Request.GoalLeft)
+                             .count());
   put(out.mutable_first(), it.First);
   return out.SerializeAsString();
 }
@@ -140,8 +144,13 @@
   BeginLease out;
   if (!in.ParseFromString(bytes) || !take(in.first(), out.First))
     return malformed();
-  out.Request = {TargetName(in.target()), in.priority(),
-                 fromMicros(in.wait_us()), fromMicros(in.total_us())};
+  out.Request = {TargetName(in.target()),
+                 in.priority(),
+                 fromMicros(in.wait_us()),
+                 fromMicros(in.total_us()),
+                 {}};
+  if (in.has_goal_left_us())
+    out.Request.GoalLeft = std::chrono::microseconds(in.goal_left_us());
   return out;
 }
 
--- a/src/proxy/directory.h
+++ b/src/proxy/directory.h
@@ -35,6 +35,8 @@
   milliseconds StatementLimit{800}; ///< For one statement, waits included.
   unsigned Priority = 0;            ///< 0 is the highest.
   milliseconds MaxStaleness{};
+  /// An answer that comes later is of little use to the caller. Zero: any is.
+  milliseconds Goal{};
 
   auto operator<=>(const Route &) const = default;
 };
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -11,6 +11,7 @@
 #include "proxy/statement.h"
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace peridotfall::proxy {
@@ -33,6 +34,9 @@
   unsigned Priority = 0; ///< 0 is served first.
   Duration Wait{};       ///< Longest for a connection.
   Duration Total{};      ///< Longest for connection and answers.
+  /// Left until its answer is of little use to the caller, which may be over
+  /// already; nothing: it never is.
+  std::optional<Duration> GoalLeft;
 
   auto operator<=>(const LeaseRequest &) const = default;
 };
--- a/src/proxy/session_units.cpp
+++ b/src/proxy/session_units.cpp
@@ -242,9 +242,14 @@
   if (auto *group = Targets.find(unit.Served.Group))
     group->Reads.started(target);
   unit.Placed = true;
-  LeaseRequest request{
-      target, unit.Served.Priority,
-      std::clamp<Duration>(wait, Duration{}, left - limits::LeastTry), left};
+  LeaseRequest request;
+  request.Target = target;
+  request.Priority = unit.Served.Priority;
+  request.Wait =
+      std::clamp<Duration>(wait, Duration{}, left - limits::LeastTry);
+  request.Total = left;
+  if (unit.Served.Goal.count() > 0)
+    request.GoalLeft = unit.Began + unit.Served.Goal - now;
   unit.Lease = Targets.begin(request, std::move(batch),
                              guarded(session, &Sessions::onFirst));
 }
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <tuple>
 #include <utility>
 
 namespace peridotfall::proxy {
@@ -334,13 +335,21 @@
 }
 
 void Sessions::resume(const GroupName &group) {
-  std::vector<std::pair<std::pair<unsigned, TimePoint>, CallerId>> parked;
-  for (const auto &[id, it] : All)
-    if (it.Current && it.Current->Parked && it.Current->Served.Group == group)
-      parked.push_back({{it.Current->Served.Priority, it.Current->Began}, id});
+  // By priority, then those that can still be answered in time, then arrival.
+  using Order = std::tuple<unsigned, bool, TimePoint, CallerId>;
+  auto now = Time.now();
+  std::vector<Order> parked;
+  for (const auto &[id, it] : All) {
+    if (!it.Current || !it.Current->Parked || it.Current->Served.Group != group)
+      continue;
+    const auto &unit = *it.Current;
+    bool late = unit.Served.Goal.count() > 0 &&
+                now + limits::GoalReserve > unit.Began + unit.Served.Goal;
+    parked.emplace_back(unit.Served.Priority, late, unit.Began, id);
+  }
   std::sort(parked.begin(), parked.end());
-  for (const auto &[order, id] : parked) {
-    auto *it = find(id);
+  for (const auto &order : parked) {
+    auto *it = find(std::get<CallerId>(order));
     if (it && it->Current && it->Current->Parked)
       place(*it);
   }
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -39,9 +39,16 @@
   LeaseId id{++LastLease};
   auto now = Time.now();
   auto until = now + (Retired ? Duration{} : request.Wait);
-  Waiter waiter{
-      id,    request.Priority,   std::move(first), std::move(done), now,
-      until, now + request.Total};
+  Waiter waiter;
+  waiter.Lease = id;
+  waiter.Priority = request.Priority;
+  waiter.First = std::move(first);
+  waiter.Done = std::move(done);
+  waiter.Since = now;
+  waiter.Until = until;
+  waiter.End = now + request.Total;
+  if (request.GoalLeft)
+    waiter.Goal = now + *request.GoalLeft;
   auto place = std::find_if(Waiting.begin(), Waiting.end(), [&](const auto &w) {
     return w.Priority > request.Priority;
   });
@@ -99,17 +106,32 @@
       }));
 }
 
+/// \return the one to run next: of the highest priority that waits the first
+/// that can still be answered in time, or the first if none can.
+std::deque<TargetPool::Waiter>::iterator TargetPool::nextWaiter() {
+  auto first = Waiting.begin();
+  auto inTime = Time.now() + limits::GoalReserve;
+  for (auto it = first; it != Waiting.end(); ++it) {
+    if (it->Priority != first->Priority)
+      break;
+    if (!it->Goal || *it->Goal >= inTime)
+      return it;
+  }
+  return first;
+}
+
 /// Load: more work than the target runs. Sent all at once, what is beyond its
-/// queue is refused by it whatever its priority. The waiting one of the
-/// highest priority that came first takes the idle connection that needs least
-/// to serve it; statements of open transactions do not wait here.
+/// queue is refused by it whatever its priority. The waiting one that is
+/// chosen takes the idle connection that needs least to serve it; statements
+/// of open transactions do not wait here.
 void TargetPool::assign() {
   while (!Waiting.empty() && running() < MostRunning) {
-    auto it = bestIdle(Waiting.front().First.Session);
+    auto next = nextWaiter();
+    auto it = bestIdle(next->First.Session);
     if (it == Connections.end())
       break;
-    auto waiter = std::move(Waiting.front());
-    Waiting.pop_front();
+    auto waiter = std::move(*next);
+    Waiting.erase(next);
     noteWait(waiter);
     start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done),
           waiter.End);
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -31,6 +31,12 @@
 /// An idle connection is closed after this long, so that another daemon can
 /// have its place; longer than the pauses of one session.
 inline constexpr milliseconds IdleConnection{15'000};
+/// A statement that has less than this left until its answer is of little use
+/// gives way to those of its priority that have more. Load: more work than the
+/// target can do, for seconds. Harm without it: all wait about as long as they
+/// may, and nearly all are answered too late. Reason: a target with its full
+/// share of six statements a slot, 18 ms each, takes about so long.
+inline constexpr milliseconds GoalReserve{100};
 /// Longest wait for the proxy's own rollback.
 inline constexpr milliseconds RollbackLimit{500};
 
@@ -124,10 +130,12 @@
     TimePoint Since;
     TimePoint Until;
     TimePoint End;
+    std::optional<TimePoint> Goal;
   };
   using ConnectionIt = std::map<ConnectionId, Connection>::iterator;
 
   ConnectionIt findLease(LeaseId lease);
+  std::deque<Waiter>::iterator nextWaiter();
   void assign();
   void start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done,
              TimePoint end);
--- a/tests/adapter/entries_test.cpp
+++ b/tests/adapter/entries_test.cpp
@@ -74,6 +74,7 @@
   CHECK(route.Reads == Guarantee::ReadYourWrites);
   CHECK(route.StatementLimit == milliseconds(800));
   CHECK(route.MaxStaleness == milliseconds(2'500));
+  CHECK(route.Goal == milliseconds(500));
   CHECK(it.value().Groups.at(proxy::GroupName("huvo11a")) ==
         proxy::GroupSettings{16, true});
   CHECK(it.value().TransactionIdle == milliseconds(2'000));
--- a/tests/proxy/lease_message_test.cpp
+++ b/tests/proxy/lease_message_test.cpp
@@ -10,7 +10,8 @@
 TEST_CASE("lease messages, any bytes in texts and values, are read back") {
   messages::BeginLease begin;
   begin.Request = {TargetName("t"), 1, std::chrono::milliseconds(100),
-                   std::chrono::milliseconds(500)};
+                   std::chrono::milliseconds(500),
+                   std::chrono::milliseconds(-30)};
   begin.First.Session = {{"z\xff", "\x80\x81"}};
   begin.First.Needs = {{true, "\xfe"}};
   begin.First.Statements = {ownStatement(StatementKind::Write)};
--- a/tests/proxy/target_pool_test.cpp
+++ b/tests/proxy/target_pool_test.cpp
@@ -69,6 +69,70 @@
   }
 };
 
+/// Statements that come evenly, and a target that takes the same time for
+/// each.
+struct OverloadFixture {
+  static constexpr milliseconds Work{18};
+  static constexpr milliseconds Goal{500};
+  static constexpr milliseconds Wait{650};
+  static constexpr milliseconds Span{3'000};
+  static constexpr std::int64_t PerSecond = 220;
+
+  /// \param goal that the pool is told of.
+  /// \return how many were answered within the goal.
+  static std::size_t play(std::optional<milliseconds> goal) {
+    PoolFixture it;
+    std::size_t inTime = 0;
+    std::int64_t came = 0;
+    std::map<ConnectionId, TimePoint> began;
+    auto start = it.Time.now();
+    while (it.Time.now() - start < Span + Wait) {
+      auto at = it.Time.now();
+      auto passed = std::min<Duration>(at - start, Span);
+      while (came * Duration(std::chrono::seconds(1)) < passed * PerSecond) {
+        ++came;
+        beginOne(it, goal, inTime);
+      }
+      it.greetAll();
+      serveDue(it, began);
+      it.Pool.tick();
+      it.Time.advance(milliseconds(1));
+    }
+    return inTime;
+  }
+
+private:
+  static void beginOne(PoolFixture &it, std::optional<milliseconds> goal,
+                       std::size_t &inTime) {
+    Batch batch;
+    batch.Statements.resize(1);
+    batch.Statements[0].Kind = StatementKind::Read;
+    batch.Statements[0].Id = "q";
+    batch.EndsLease = true;
+    batch.Patience = milliseconds(1'000);
+    LeaseRequest request{TargetName("t"), 2, Wait, milliseconds(2'000), goal};
+    auto since = it.Time.now();
+    it.Pool.begin(request, batch, [&it, &inTime, since](const BatchResult &r) {
+      inTime += r.End == BatchEnd::Whole && it.Time.now() - since <= Goal;
+    });
+  }
+  static void serveDue(PoolFixture &it,
+                       std::map<ConnectionId, TimePoint> &began) {
+    for (auto &[id, line] : it.Links.Lines) {
+      if (line.Unanswered.empty())
+        continue;
+      auto since = began.try_emplace(id, it.Time.now()).first->second;
+      if (it.Time.now() - since < Work)
+        continue;
+      began.erase(id);
+      line.Unanswered.pop_front();
+      Answer answer;
+      answer.Signature = "s";
+      it.Pool.answered(id, answer);
+    }
+  }
+};
+
 } // namespace
 
 // Load: more statements than a target runs. Sent all at once, those beyond its
@@ -104,6 +168,20 @@
   CHECK(Links.Lines.size() == 3);
 }
 
+// Load, for three seconds: 220 statements a second of 18 ms before a target
+// that runs three at once, 166 a second. In order of arrival all wait about as
+// long as they may, and callers get nearly every answer too late to use it.
+TEST_CASE_FIXTURE(OverloadFixture,
+                  "more work than the target can do, most is served in time") {
+  auto inOrder = play(std::nullopt);
+  auto byGoal = play(milliseconds(500));
+  CAPTURE(inOrder);
+  CAPTURE(byGoal);
+  constexpr std::size_t Most = 3 * 166;
+  CHECK(inOrder < Most * 6 / 10);
+  CHECK(byGoal > Most);
+}
+
 // A transaction that waits behind new work would hold its connection and its
 // locks the longer; its statements go at once.
 TEST_CASE_FIXTURE(PoolFixture,
