--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -44,6 +44,9 @@
 DEFINE_bool(on_platform, false,
             "run on the users' platform; the settings are then taken from the "
             "file that the platform writes");
+DEFINE_uint32(metrics_port, 0,
+              "port of the metrics on the users' platform; 0: the second "
+              "internal port");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
 namespace {
@@ -115,8 +118,13 @@
         {"--log_level", "debug, info, warning or error", FLAGS_log_level});
   else
     peridotfall::telemetry::setLevel(*level);
+  constexpr unsigned MostPort = 65'535;
+  if (FLAGS_metrics_port > MostPort)
+    findings.push_back({"metrics_port", "a port, 65535 at most",
+                        std::to_string(FLAGS_metrics_port)});
   if (FLAGS_on_platform && findings.empty())
-    return peridotfall::adapter::runNode();
+    return peridotfall::adapter::runNode(
+        static_cast<std::uint16_t>(FLAGS_metrics_port));
   auto options = peridotfall::parseOptions(settings());
   if (!options)
     findings.insert(findings.end(), options.error().begin(),
