Wait longer for a synchronous replica, and read the duty's record on waking

(1) Whether a group's commits wait for a replica was decoded and used by nothing: with such a group a replica that is silent for 0.7 s is passed over, though it may be the one that has the acknowledged records. (2) The pause before a watch lets a holder that was frozen go on by an old record for up to a second longer. Change: the choice waits 5 s in such a group, by which the entry of a target that is gone for good has been removed; a holder that wakes reads the record. Shown by two tests that fail without the change (a promotion after 0.7 s; no reading).

--- a/src/proxy/succession.cpp
+++ b/src/proxy/succession.cpp
@@ -149,9 +149,13 @@
   bool paused = now - LastTick > limits::LongTick;
   LastTick = now;
   if (paused) {
-    // Frozen or suspended: nothing was heard because nothing was read.
+    // Frozen or suspended: nothing was heard because nothing was read. Another
+    // daemon may hold the duty by now, and the watch that tells may be between
+    // two calls; a promotion by the old record would undo the other's.
     seeHolder();
     forgetSuspicions();
+    if (holds())
+      Port.readRecord();
   }
   tickDuty(now);
   if (!holds())
@@ -315,7 +319,10 @@
   auto candidates = static_cast<std::size_t>(std::count_if(
       group.Targets.begin(), group.Targets.end(),
       [&](const TargetEntry &it) { return isCandidate(group, it); }));
-  if (change.Heard.size() < candidates && waited < limits::SilentReplicaLimit) {
+  auto limit = group.Settings.WaitsForReplica
+                   ? limits::SilentReplicaOfSyncedLimit
+                   : limits::SilentReplicaLimit;
+  if (change.Heard.size() < candidates && waited < limit) {
     askStatus(name, group, change);
     return;
   }
--- a/src/proxy/succession.h
+++ b/src/proxy/succession.h
@@ -34,6 +34,10 @@
 /// Harm without it: acknowledged records that only that one has are lost for
 /// a pause of its own. Reason: one lost packet and its second try.
 inline constexpr milliseconds SilentReplicaLimit{700};
+/// The same in a group whose commits are acknowledged once one replica has
+/// them: any replica may be the one. Reason: longer than the time after which
+/// the entry of a target that is gone for good is removed, which ends the wait.
+inline constexpr milliseconds SilentReplicaOfSyncedLimit{5'000};
 /// Longest wait for a replica to receive what a leaving primary has.
 inline constexpr milliseconds CatchUpLimit{2'500};
 /// Between a leaving primary's notice and the choice: writes that the other
--- a/tests/proxy/succession_test.cpp
+++ b/tests/proxy/succession_test.cpp
@@ -224,6 +224,38 @@
 
 // Callers lose acknowledged records. A daemon that was cut off takes the duty
 // as the cut heals, and acts on a primary that it has missed all the while.
+// Commits of the group are acknowledged once one replica has them. The replica
+// that has the last ones is silent for two seconds after the primary's death;
+// were the other one promoted, acknowledged records would be gone.
+TEST_CASE_FIXTURE(SuccessionFixture,
+                  "synchronous replica silent for long, choice waits for it") {
+  All.takeSettings({{GroupName("ledger"), {16, true}}});
+  hold();
+  run(milliseconds(1'000));
+  Silent = {"s"};
+  crashPrimary();
+  run(milliseconds(680));
+  hear({8, 0});
+  run(milliseconds(2'000));
+  CHECK(Calls.Promotions.empty());
+  Silent.clear();
+  run(milliseconds(700));
+  CHECK(Calls.Promotions ==
+        std::vector<FakeCalls::Promotion>{{TargetName("s"), 11}});
+}
+
+// A holder of the duty that was frozen goes on as if no time had passed, while
+// another daemon has taken the duty. It asks who holds it before anything else.
+TEST_CASE_FIXTURE(SuccessionFixture,
+                  "holder frozen, reads the record when it wakes") {
+  hold();
+  run(milliseconds(200));
+  auto before = Calls.Reads;
+  Time.advance(std::chrono::seconds(4));
+  Duty.tick();
+  CHECK(Calls.Reads == before + 1);
+}
+
 TEST_CASE_FIXTURE(SuccessionFixture,
                   "duty just taken, primary is suspected only from then on") {
   Duty.takeMembers({member("vm", Incarnation)});
