Bound the span that a statement's goal is carried with, and mend a lint finding

Change: it is cut to a year either way. The new test fails without the change (292 years are read back).

--- a/src/messages/lease.cpp
+++ b/src/messages/lease.cpp
@@ -150,7 +150,7 @@
                  fromMicros(in.total_us()),
                  {}};
   if (in.has_goal_left_us())
-    out.Request.GoalLeft = std::chrono::microseconds(in.goal_left_us());
+    out.Request.GoalLeft = fromSignedMicros(in.goal_left_us());
   return out;
 }
 
--- a/tests/proxy/lease_message_test.cpp
+++ b/tests/proxy/lease_message_test.cpp
@@ -43,3 +43,18 @@
   begin.First.Statements[0].Kind = static_cast<StatementKind>(99);
   CHECK_FALSE(messages::decodeBeginLease(messages::encode(begin)));
 }
+
+// Another daemon may send anything; a span that overflows the clock would make
+// its statement first or last for good.
+TEST_CASE("lease messages, endless spans, are cut to what the clock can hold") {
+  for (auto span : {Duration::max(), Duration::min()}) {
+    messages::BeginLease begin;
+    begin.First.Statements = {ownStatement(StatementKind::Begin)};
+    begin.Request.GoalLeft = span;
+    auto read = messages::decodeBeginLease(messages::encode(begin));
+    REQUIRE(read);
+    auto left = *read.value().Request.GoalLeft;
+    CHECK(std::chrono::abs(left) <= std::chrono::hours(24 * 365));
+    CHECK((left > Duration{}) == (span > Duration{}));
+  }
+}
--- a/tests/proxy/target_pool_test.cpp
+++ b/tests/proxy/target_pool_test.cpp
@@ -177,7 +177,8 @@
   auto byGoal = play(milliseconds(500));
   CAPTURE(inOrder);
   CAPTURE(byGoal);
-  constexpr std::size_t Most = 3 * 166;
+  constexpr std::size_t Slots = 3;
+  constexpr std::size_t Most = Slots * 166;
   CHECK(inOrder < Most * 6 / 10);
   CHECK(byGoal > Most);
 }
