Learn a replica's lag from what it has applied

Cause: a lag once learnt was kept as the largest seen, and reads asked both replicas in turn although these had just said what they had applied.

Change: the position in an answer tells the lag, either way. A replica that is behind by 0.5 s or more is asked for its position four times a second by beginning a transaction that only reads, which takes no slot.

--- a/include/peridotfall/placement.h
+++ b/include/peridotfall/placement.h
@@ -174,6 +174,10 @@
                 TimePoint now);
   /// Notes that the primary's log has reached a position.
   void noteHead(Position at, TimePoint now) { Head.note(at, now); }
+  /// Notes what a replica has applied.
+  void noteApplied(const TargetName &target, Position at, TimePoint now);
+  /// \return whether the target is known to be behind by so much or more.
+  bool lagsBy(const TargetName &target, Duration lag) const;
   bool ejected(const TargetName &target, TimePoint now) const;
 
 private:
@@ -197,6 +201,7 @@
   Duration cost(const Candidate &it, TimePoint now) const;
   bool admitted(const Candidate &it, TimePoint now);
   void learnLag(const AnswerReport &report, Load &load, TimePoint now);
+  void learnApplied(Position at, Load &load, TimePoint now);
   bool tooSlow(const TargetName &target) const;
   void eject(const TargetName &target, std::size_t replicas, TimePoint now);
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -140,24 +140,48 @@
     --it->second.Outstanding;
 }
 
-/// A replica that was behind had a lag of at least the position's age.
 void Placement::learnLag(const AnswerReport &report, Load &load,
                          TimePoint now) {
   constexpr double NewWeight = 0.2;
-  load.Applied = std::max(load.Applied, report.At);
-  std::optional<Duration> lag = report.Age;
-  if (report.Code == AnswerCode::Behind && !lag)
-    lag = std::max(now - Head.committedBy(report.NotBefore, now) +
-                       Duration(limits::UnknownLag),
-                   load.Lag);
-  if (!lag)
+  if (report.Age) {
+    load.Lag = load.LagKnown ? scaled(load.Lag, 1 - NewWeight) +
+                                   scaled(*report.Age, NewWeight)
+                             : *report.Age;
+    load.LagKnown = true;
+  }
+  if (report.FromPrimary)
+    return;
+  if (report.At != Position{})
+    learnApplied(report.At, load, now);
+  if (report.Code != AnswerCode::Behind || report.Age)
     return;
-  load.Lag = load.LagKnown
-                 ? scaled(load.Lag, 1 - NewWeight) + scaled(*lag, NewWeight)
-                 : *lag;
+  // It lacks a position, so its lag is at least that one's age.
+  auto least = now - Head.committedBy(report.NotBefore, now) +
+               Duration(limits::UnknownLag);
+  load.Lag = load.LagKnown ? std::max(load.Lag, least) : least;
+  load.LagKnown = true;
+}
+
+/// Failure: a lag that was learnt once is believed for good. Symptom: long
+/// after the replica has caught up all its reads go to the primary, which
+/// cannot run them all. What the replica has applied tells its lag either way.
+void Placement::learnApplied(Position at, Load &load, TimePoint now) {
+  load.Applied = std::max(load.Applied, at);
+  auto lag = now - Head.committedBy({at.InTerm, at.Index + 1}, now);
+  load.Lag = std::max(lag, Duration(limits::UnknownLag));
   load.LagKnown = true;
 }
 
+void Placement::noteApplied(const TargetName &target, Position at,
+                            TimePoint now) {
+  learnApplied(at, Loads[target], now);
+}
+
+bool Placement::lagsBy(const TargetName &target, Duration lag) const {
+  auto it = Loads.find(target);
+  return it != Loads.end() && it->second.LagKnown && it->second.Lag >= lag;
+}
+
 void Placement::answered(const AnswerReport &report, std::size_t replicas,
                          TimePoint now) {
   auto &load = Loads[report.Target];
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -374,6 +374,33 @@
   beginBy(by, request, batch, learned);
 }
 
+/// Beginning a transaction that only reads tells the replica's position and
+/// takes no slot.
+void Groups::askApplied(Group &group, TimePoint now) {
+  group.NextAppliedCheck = now + limits::AppliedCheckPause;
+  for (const auto &it : group.Targets) {
+    bool isReplica = group.View.leader() != it.Name;
+    if (!isReplica || !isUsable(it.Name) ||
+        !group.Reads.lagsBy(it.Name, limits::LargeLag))
+      continue;
+    Batch batch;
+    batch.Statements = {ownStatement(StatementKind::BeginRead),
+                        ownStatement(StatementKind::Rollback)};
+    batch.EndsLease = true;
+    batch.Patience = limits::LeadCheckLimit;
+    LeaseRequest request{it.Name, 0, limits::LeadCheckLimit,
+                         2 * limits::LeadCheckLimit};
+    auto learned = [this, name = it.Group,
+                    target = it.Name](const BatchResult &out) {
+      auto *found = find(name);
+      if (!found || out.Answers.empty() || !out.Answers[0].At)
+        return;
+      found->Reads.noteApplied(target, *out.Answers[0].At, Time.now());
+    };
+    begin(request, std::move(batch), learned);
+  }
+}
+
 Group *Groups::use(const GroupName &name) {
   auto *group = find(name);
   if (!group)
@@ -404,10 +431,12 @@
     group.LeavingSince.reset();
   else if (!group.LeavingSince)
     group.LeavingSince = now;
+  bool used = group.UsedAt && now - *group.UsedAt < limits::GroupIdle;
+  if (used && now >= group.NextAppliedCheck)
+    askApplied(group, now);
   if (now < group.NextLeadCheck)
     return;
   auto proof = group.View.lastProof();
-  bool used = group.UsedAt && now - *group.UsedAt < limits::GroupIdle;
   if (missing || leaving) {
     group.NextLeadCheck = now + limits::LeadCheckPause;
     for (const auto &target : group.Targets)
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -25,6 +25,11 @@
 /// it is older than this. Reason: a third of the shortest usual staleness
 /// bound of 1.5 s, so that one lost question costs no read its replica.
 inline constexpr milliseconds HeadRefresh{500};
+/// A replica that is behind by so much or more gets few reads or none, so that
+/// its answers do not tell when it has caught up: it is asked for its position,
+/// with this pause between.
+inline constexpr milliseconds LargeLag{500};
+inline constexpr milliseconds AppliedCheckPause{250};
 /// A group that nobody asked for so long is not in use.
 inline constexpr milliseconds GroupIdle{5'000};
 /// Longest run of a question; far above a round trip of 16 ms.
@@ -68,7 +73,7 @@
   std::vector<TargetEntry> Targets;
   std::optional<TimePoint> UsedAt;
   TimePoint NextLeadCheck{};
-  TimePoint LastHeadAsk{};
+  TimePoint NextAppliedCheck{};
   std::optional<TimePoint> LeaderMissing; ///< Since when nobody leads.
   std::optional<TimePoint> LeavingSince;  ///< The primary's draining was seen.
 };
@@ -138,6 +143,8 @@
   /// Ends a batch at the next tick: there is no connection for it.
   void endLater(OnBatch done);
   void askLead(const TargetName &target);
+  /// Asks the replicas that are known to be behind what they have applied.
+  void askApplied(Group &group, TimePoint now);
   void askLeadBy(const VmName &by, const TargetName &target);
   void tickGroup(Group &group, TimePoint now);
   void probePaths();
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -434,3 +434,43 @@
   CHECK(last(callers.back()).Error->Detail ==
         "more waits than runs in time; retry-after-ms=150");
 }
+
+// Load: both replicas fall 2.5 s behind. Asked in turn by each read, they say
+// each time that they lack its position; and once they have caught up nobody
+// asks them, so that the primary gets all reads for good. They are asked for
+// their position instead, and take reads again when it suffices.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "replicas behind, are asked by no read until they caught "
+                  "up") {
+  constexpr unsigned Steps = 30;
+  constexpr unsigned StepsBehind = 25;
+  for (unsigned n = 0; n < Steps; ++n) {
+    ++Head.Index;
+    learnHead();
+    pass(milliseconds(100));
+  }
+  auto behind = failure(ErrorKind::Lagging, TransactionState::Idle);
+  behind.At = Position{InTerm, Head.Index - StepsBehind};
+  auto reader = session("views");
+  send(reader, StatementKind::Read, "READ a");
+  for (const char *replica : {"r", "s", "r", "s"}) {
+    greetAll();
+    if (auto id = busyAt(replica))
+      answer(*id, behind);
+  }
+  serve("p", TransactionState::Open);
+  REQUIRE(last(reader).ok());
+  send(reader, StatementKind::Read, "READ b");
+  CHECK_FALSE(busyAt("r"));
+  CHECK_FALSE(busyAt("s"));
+  serve("p", TransactionState::Open);
+  CHECK(answers(reader).size() == 2);
+
+  pass(milliseconds(300));
+  serve("r", TransactionState::Idle);
+  serve("s", TransactionState::Idle);
+  serve("p", TransactionState::Open);
+  send(reader, StatementKind::Read, "READ c");
+  pass(milliseconds(60));
+  CHECK((busyAt("r") || busyAt("s")));
+}
