Let two daemons of a failure domain watch the store for the others

Ruled out: longer watches alone, as changes end them; a stale watch at a tenth of the price, as nothing bounds how old its data may be.

Change: the two daemons that rank first in their failure domain watch; the others hold a watch at one of these, which answers from its copy. Each answer carries its age, and no wait is longer than the copy may still age, so that a daemon that is frozen, cut off or turned away by the store delays nobody beyond the bound of the configuration; who finds none asks the store. Who watches is computed from the members. Domains of fewer than five keep their own watches. Lists, the duty's record and what decides a promotion are read from the store as before. Calls are counted where they are made.

Tests: watcher cut from the store and watcher silent; each fails with its safeguard taken out.

--- a/src/messages/copy.h
+++ b/src/messages/copy.h
@@ -27,10 +27,30 @@
   auto operator<=>(const CopyAnswer &) const = default;
 };
 
+inline constexpr auto WatchPath = "/inner/v1/watch";
+
+/// Asks for the changes of a kind; held until there are some.
+struct WatchRequest {
+  std::string Kind;
+  std::uint64_t NewerThan = 0; ///< Revision that the asking daemon has.
+  Duration Wait{};             ///< Longest, for a change.
+
+  auto operator<=>(const WatchRequest &) const = default;
+};
+
+struct WatchAnswer {
+  proxy::ObjectChanges Changes;
+  Duration Age{}; ///< Since the store last answered the daemon asked.
+};
+
 std::string encode(const CopyRequest &it);
 std::string encode(const CopyAnswer &it);
+std::string encode(const WatchRequest &it);
+std::string encode(const WatchAnswer &it);
 Result<CopyRequest> decodeCopyRequest(const std::string &bytes);
 Result<CopyAnswer> decodeCopyAnswer(const std::string &bytes);
+Result<WatchRequest> decodeWatchRequest(const std::string &bytes);
+Result<WatchAnswer> decodeWatchAnswer(const std::string &bytes);
 
 } // namespace peridotfall::messages
 
--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -87,16 +87,22 @@
   ++Round;
   Tries = 0;
   NextTry.reset();
+  if (!EverCurrent)
+    DeletionsSince = listing.Revision;
   Revision = listing.Revision;
   regained();
   MustList = false;
   auto before = std::exchange(Copy, std::move(listing.All));
   Vanished.clear();
-  for (auto &[name, it] : before)
-    if (!Copy.contains(name) && GraceUntil) {
+  for (auto &[name, it] : before) {
+    if (Copy.contains(name))
+      continue;
+    noteDeletion(name, Revision);
+    if (GraceUntil) {
       Copy[name] = std::move(it);
       Vanished.insert(name);
     }
+  }
   publish();
   endRefresh();
   watchOn();
@@ -105,6 +111,9 @@
 bool Mirror::takeCopy(const Objects &objects, std::uint64_t revision) {
   if (Current || revision <= Revision)
     return false;
+  for (const auto &[name, it] : Copy)
+    if (!objects.contains(name))
+      noteDeletion(name, revision);
   Copy = objects;
   Vanished.clear();
   Revision = revision;
@@ -136,15 +145,16 @@
     return;
   }
   regained();
+  Revision = std::max(Revision, changes.Revision);
   for (const auto &it : changes.Objects) {
-    if (it.Deleted)
+    if (it.Deleted) {
+      noteDeletion(it.Name, Revision);
       remove(it.Name);
-    else {
+    } else {
       Copy[it.Name] = it;
       Vanished.erase(it.Name);
     }
   }
-  Revision = std::max(Revision, changes.Revision);
   bool changed = !changes.Objects.empty();
   if (changed)
     publish();
@@ -154,6 +164,31 @@
     watchOn();
 }
 
+void Mirror::noteDeletion(const std::string &name, std::uint64_t revision) {
+  Deletions.emplace_back(name, revision);
+  if (Deletions.size() <= MostDeletions)
+    return;
+  DeletionsSince = Deletions.front().second;
+  Deletions.pop_front();
+}
+
+ObjectChanges Mirror::changesSince(std::uint64_t revision) const {
+  ObjectChanges out;
+  out.Outcome = ReadOutcome::Gone;
+  if (revision < DeletionsSince)
+    return out;
+  out.Outcome = ReadOutcome::Done;
+  out.Revision = Revision;
+  for (const auto &[name, deleted] : Deletions)
+    if (deleted > revision)
+      out.Objects.push_back({name, "", deleted, true});
+  // What was made again under its name follows its deletion.
+  for (const auto &[name, it] : Copy)
+    if (it.Revision > revision)
+      out.Objects.push_back(it);
+  return out;
+}
+
 void Mirror::remove(const std::string &name) {
   if (GraceUntil && Copy.contains(name))
     Vanished.insert(name);
@@ -162,8 +197,6 @@
 }
 
 void Mirror::lost() {
-  if (OnAnswer)
-    OnAnswer(false);
   if (Current || Pause.failures() == 0)
     telemetry::log(Event::StoreLost, {field("kind", Set.Kind)});
   Current = false;
@@ -176,8 +209,6 @@
 /// writers come back within a known time; an entry missing after it is gone.
 void Mirror::regained() {
   LastAnswer = Time.now();
-  if (OnAnswer)
-    OnAnswer(true);
   auto failures = Pause.failures();
   Pause.succeeded();
   if (Current)
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -10,12 +10,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace peridotfall::proxy {
@@ -111,6 +113,11 @@
 
 using Objects = std::map<std::string, StoredObject>;
 
+/// Deletions remembered for daemons that watch this one's copy. Reason: more
+/// than a fleet of 1,700 daemons loses between two answers; who lacks older
+/// ones lists anew.
+inline constexpr std::size_t MostDeletions = 2'048;
+
 /// \param configurationLimit within which a configuration must be in force.
 /// \return how long a watch of the configuration may wait.
 milliseconds sentinelWait(milliseconds configurationLimit);
@@ -133,8 +140,6 @@
 
   /// Called when the store answers again after it was lost.
   std::function<void()> OnRegained;
-  /// Called after each call, with whether the store answered.
-  std::function<void(bool)> OnAnswer;
   /// Called whenever the copy has changed.
   std::function<void(const Objects &)> OnChange;
 
@@ -151,6 +156,9 @@
   const Objects &objects() const { return Copy; }
   /// \return the store's revision that the copy is of.
   std::uint64_t revision() const { return Revision; }
+  /// \return what the store has changed since \p revision; gone: that is no
+  /// longer known.
+  ObjectChanges changesSince(std::uint64_t revision) const;
   /// Takes another daemon's copy, while the store does not answer.
   /// \return whether it was newer than this one.
   bool takeCopy(const Objects &objects, std::uint64_t revision);
@@ -173,6 +181,7 @@
   void lost();
   void regained();
   void remove(const std::string &name);
+  void noteDeletion(const std::string &name, std::uint64_t revision);
   void publish();
   void endRefresh();
 
@@ -192,6 +201,10 @@
   std::vector<std::function<void()>> Refreshed;
   std::optional<TimePoint> GraceUntil;
   std::set<std::string> Vanished; ///< Kept until the grace is over.
+  /// What the store has deleted, the revision of each, and since which one
+  /// they are complete.
+  std::deque<std::pair<std::string, std::uint64_t>> Deletions;
+  std::uint64_t DeletionsSince = 0;
 };
 
 } // namespace peridotfall::proxy
--- /dev/null
+++ b/src/proxy/shared_watch.cpp
@@ -0,0 +1,159 @@
+#include "proxy/shared_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotfall::proxy {
+
+WatchPlan planWatches(const VmName &self, const DomainName &domain,
+                      const std::vector<Member> &live) {
+  std::vector<Member> near;
+  for (const auto &it : live)
+    if (it.Domain == domain && !it.InnerAddress.empty())
+      near.push_back(it);
+  if (near.size() < limits::LeastSharing)
+    return {};
+  auto watchers =
+      rankOwners(near, TargetName("watch of the store"), domain, RegionName());
+  if (watchers.size() > limits::WatchersOfDomain)
+    watchers.resize(limits::WatchersOfDomain);
+  if (std::any_of(watchers.begin(), watchers.end(),
+                  [&](const Member &it) { return it.Vm == self; }))
+    return {{}, true};
+  // Each daemon has an order of its own, so that the watchers share the work.
+  return {rankOwners(watchers, TargetName(self.Value), domain, RegionName()),
+          false};
+}
+
+milliseconds freshFor(milliseconds configurationLimit) {
+  return std::max(configurationLimit - limits::FreshReserve,
+                  limits::LeastSharedWait);
+}
+
+SharedWatch::SharedWatch(ObjectSource &store, WatcherPort &others,
+                         std::string sentinel, milliseconds freshFor,
+                         const Clock &clock)
+    : Store(store), Others(others), Sentinel(std::move(sentinel)),
+      FreshFor(freshFor), Time(clock) {}
+
+void SharedWatch::takeMembers(const VmName &self, const DomainName &domain,
+                              const std::vector<Member> &live) {
+  Plan = planWatches(self, domain, live);
+}
+
+void SharedWatch::noteStore(const std::string &kind, const ObjectPage &page) {
+  bool answered = page.Outcome != ReadOutcome::Unavailable;
+  if (answered)
+    FreshAt[kind] = Time.now();
+  if (OnStoreCall)
+    OnStoreCall(kind, answered);
+}
+
+void SharedWatch::list(const std::string &kind, const std::string &after,
+                       milliseconds limit, OnPage done) {
+  Store.list(kind, after, limit, [this, kind, done](ObjectPage page) {
+    noteStore(kind, page);
+    done(std::move(page));
+  });
+}
+
+void SharedWatch::watchStore(const std::string &kind, std::uint64_t revision,
+                             milliseconds wait, OnChanges done) {
+  if (Plan.ForOthers && kind == Sentinel)
+    wait = std::min(wait, FreshFor / limits::FreshParts);
+  Store.watch(kind, revision, wait, [this, kind, done](ObjectChanges changes) {
+    noteStore(kind, changes);
+    done(std::move(changes));
+  });
+}
+
+const Member *SharedWatch::nextWatcher(TimePoint now) const {
+  for (const auto &it : Plan.Ask) {
+    auto paused = PausedUntil.find(it.Vm);
+    if (paused == PausedUntil.end() || now >= paused->second)
+      return &it;
+  }
+  return nullptr;
+}
+
+/// Failure: the daemon asked is frozen, killed or cut off, from this one or
+/// from the store. Symptom: a configuration that was accepted, or a target
+/// that leaves, is not known here in time. What it tells comes with its age,
+/// and no wait is longer than the copy may still age; the store is asked
+/// without another daemon when that is over.
+void SharedWatch::watch(const std::string &kind, std::uint64_t revision,
+                        milliseconds wait, OnChanges done) {
+  auto now = Time.now();
+  const auto *watcher = nextWatcher(now);
+  auto left = FreshAt[kind] + FreshFor - limits::SharedSlack - now;
+  auto most = std::min({std::chrono::duration_cast<milliseconds>(left), wait,
+                        milliseconds(limits::SharedWait)});
+  if (!watcher || most < limits::LeastSharedWait) {
+    watchStore(kind, revision, wait, std::move(done));
+    return;
+  }
+  auto answered =
+      [this, kind, revision, wait, vm = watcher->Vm,
+       done = std::move(done)](const std::optional<messages::WatchAnswer> &it) {
+        if (it && it->Changes.Outcome != ReadOutcome::Unavailable) {
+          FreshAt[kind] = std::max(FreshAt[kind], Time.now() - it->Age);
+          done(it->Changes);
+          return;
+        }
+        PausedUntil[vm] = Time.now() + limits::WatcherPause;
+        watch(kind, revision, wait, done);
+      };
+  Others.watch(watcher->InnerAddress, {kind, revision, most},
+               most + limits::SharedSlack, std::move(answered));
+}
+
+void WatchHost::add(const Mirror &mirror, bool sentinel) {
+  Mirrors[mirror.kind()] = &mirror;
+  if (sentinel)
+    Sentinel = &mirror;
+}
+
+void WatchHost::begin(const messages::WatchRequest &request, Answer answer) {
+  auto it = Mirrors.find(request.Kind);
+  if (it == Mirrors.end()) {
+    answer({});
+    return;
+  }
+  Waiting.push_back({it->second, request.NewerThan, Time.now() + request.Wait,
+                     std::move(answer)});
+}
+
+bool WatchHost::isCurrent(const Mirror &mirror) const {
+  return mirror.isCurrent() && (!Sentinel || Sentinel->isCurrent());
+}
+
+bool WatchHost::isDue(const Held &it, TimePoint now) const {
+  return !isCurrent(*it.Of) || it.Of->revision() > it.NewerThan ||
+         now >= it.Until;
+}
+
+void WatchHost::answer(const Held &it, TimePoint now) const {
+  messages::WatchAnswer out;
+  if (isCurrent(*it.Of)) {
+    out.Changes = it.Of->changesSince(it.NewerThan);
+    out.Age = now - (Sentinel ? Sentinel : it.Of)->lastAnswer();
+  }
+  it.Done(std::move(out));
+}
+
+void WatchHost::tick() {
+  auto now = Time.now();
+  std::vector<Held> due;
+  for (auto it = Waiting.begin(); it != Waiting.end();) {
+    if (!isDue(*it, now)) {
+      ++it;
+      continue;
+    }
+    due.push_back(std::move(*it));
+    it = Waiting.erase(it);
+  }
+  for (const auto &it : due)
+    answer(it, now);
+}
+
+} // namespace peridotfall::proxy
