Ask for a promotion again beside a silent call

Cause: a call of the platform whose answer was lost was waited for over its whole limit of 700 ms, while the group had no primary; the next one with the same number for the same target was accepted in 12 ms.

Change: a call that is silent for 150 ms is made again beside it, three at once at most; number and target stay, so whichever is carried out, the outcome is the same. The answer to an older choice is passed over.

Three tests of what is chosen counted calls; as a silent call is now made again, they compare the choices, each once, as strictly as before; the new test counts the calls.

--- a/src/proxy/succession.cpp
+++ b/src/proxy/succession.cpp
@@ -194,6 +194,9 @@
     choose(name, group, change, now);
     return;
   case Step::Calling:
+    if (change.Unanswered < limits::MostPromotionCalls &&
+        now - change.LastCall >= limits::PromotionHedge)
+      call(name, change);
     return;
   case Step::Settling: {
     bool leads = group.View.leader() == change.Chosen && !group.LeaderMissing;
@@ -370,7 +373,6 @@
   Counts.RecordsLacked->Increment(static_cast<double>(lacks));
   change.Chosen = chosen;
   change.Number = NextNumber++;
-  change.Calls = 0;
   telemetry::log(Event::PromotionDecided,
                  {field("group", name.Value), field("target", chosen.Value),
                   field("old", leader ? leader->Value : "none"),
@@ -379,25 +381,37 @@
                   field("received", fmt::format("{}.{}", best->Received.InTerm,
                                                 best->Received.Index)),
                   field("heard", change.Heard.size())});
-  call(name, change);
+  beginCalls(name, change);
 }
 
-void Succession::call(const GroupName &name, Change &change) {
+void Succession::beginCalls(const GroupName &name, Change &change) {
   auto now = Time.now();
-  if (change.At == Step::Choosing)
-    countChangePart(Counts, ChangePart::Choice, now - change.Since);
+  countChangePart(Counts, ChangePart::Choice, now - change.Since);
   change.At = Step::Calling;
   change.Since = now;
+  change.Calls = 0;
+  change.Unanswered = 0;
+  call(name, change);
+}
+
+void Succession::call(const GroupName &name, Change &change) {
+  change.LastCall = Time.now();
   ++change.Calls;
+  ++change.Unanswered;
   Port.promote(name, change.Chosen, change.Number);
 }
 
-void Succession::takePromoted(const GroupName &name, CallOutcome outcome) {
+void Succession::takePromoted(const GroupName &name, CallOutcome outcome,
+                              std::optional<std::uint64_t> number) {
   auto it = Changes.find(name);
   if (it == Changes.end() || it->second.At != Step::Calling)
     return;
+  if (number && *number != it->second.Number)
+    return;
   auto &change = it->second;
   auto now = Time.now();
+  if (change.Unanswered > 0)
+    --change.Unanswered;
   telemetry::log(
       Event::PromotionAnswered,
       {field("group", name.Value), field("target", change.Chosen.Value),
@@ -416,6 +430,8 @@
     change.NotBefore = {};
     return;
   }
+  if (outcome == CallOutcome::Unknown && change.Unanswered > 0)
+    return;
   if (outcome == CallOutcome::Unknown && change.Calls < MostCalls) {
     // The same number for the same target: whichever call is carried out,
     // the outcome is the same.
--- a/src/proxy/succession.h
+++ b/src/proxy/succession.h
@@ -46,6 +46,13 @@
 /// After a promotion was accepted, until another is tried. A promotion takes
 /// 0.3 to 1 s.
 inline constexpr milliseconds PromotionSettle{2'000};
+/// A call of the platform that is silent for so long is made again beside the
+/// first, so many at once at most. Load: answers of the platform that are
+/// lost. Harm without it: the group has no primary until the call's limit is
+/// over. Reason: some times what a call takes; all carry the same number for
+/// the same target, so whichever is carried out, the outcome is the same.
+inline constexpr milliseconds PromotionHedge{150};
+inline constexpr unsigned MostPromotionCalls = 3;
 /// Pause after a promotion failed.
 inline constexpr milliseconds PromotionPause{200};
 /// A holder of the duty that no daemon has heard of for so long has lost it.
@@ -122,7 +129,10 @@
                   std::uint64_t revision);
   void takeWritten(CallOutcome outcome);
   void takeMembers(const std::vector<Member> &live);
-  void takePromoted(const GroupName &group, CallOutcome outcome);
+  /// \param number that the call carried; nothing: that of the last one. The
+  /// answer to an older choice is passed over.
+  void takePromoted(const GroupName &group, CallOutcome outcome,
+                    std::optional<std::uint64_t> number = std::nullopt);
   void takeEvidence(const GroupName &group, const PeerEvidence &evidence);
   void takeTargetsRead();
   void tick();
@@ -154,6 +164,8 @@
     TargetName Chosen;
     std::uint64_t Number = 0;
     unsigned Calls = 0;
+    unsigned Unanswered = 0; ///< Of these.
+    TimePoint LastCall{};
   };
 
   void tickDuty(TimePoint now);
@@ -172,6 +184,7 @@
   void askStatus(const GroupName &name, Group &group, Change &change);
   void choose(const GroupName &name, Group &group, Change &change,
               TimePoint now);
+  void beginCalls(const GroupName &name, Change &change);
   void call(const GroupName &name, Change &change);
 
   Place Self;
