--- a/src/proxy/session_units.cpp
+++ b/src/proxy/session_units.cpp
@@ -230,10 +230,11 @@
       share(unit.Served.StatementLimit, limits::ReadPatienceShare),
       limits::LeastReadPatience);
   batch.Patience = repeatable ? std::min<Duration>(left, patience) : left;
-  // A read that falls back to the primary gives way to what can run only
-  // there: waiting as long as a write, it served no more in time.
-  auto wait = unit.PrimaryOnly ? primaryWaitEnd(unit) - now
-                               : Duration(limits::ReadWait);
+  // Load: all callers come back at once after an outage. A read that only the
+  // primary may run waits there as long as a write, and is late instead of
+  // refused three times in a moment.
+  auto wait =
+      atPrimary ? primaryWaitEnd(unit) - now : Duration(limits::ReadWait);
   endWait(unit);
   ++unit.Tries;
   unit.Target = target;
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -474,3 +474,31 @@
   pass(milliseconds(60));
   CHECK((busyAt("r") || busyAt("s")));
 }
+
+// Load: callers come back at once after an outage, when only the primary is
+// known to be up to date. Its queue is longer than a read waits for one of
+// several replicas, and is gone soon: the reads wait for their turn.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "read that only the primary may run, waits for its turn "
+                  "there") {
+  std::vector<CallerId> callers;
+  for (int n = 0; n < 40; ++n) {
+    callers.push_back(session("views"));
+    send(callers.back(), StatementKind::Read, "READ a");
+  }
+  greetAll();
+  pass(milliseconds(100));
+  auto first = busyAt("p");
+  REQUIRE(first);
+  for (auto state :
+       {TransactionState::Open, TransactionState::Open, TransactionState::Idle})
+    answer(*first, success(Links.Lines.at(*first).Unanswered.front(), state));
+  pass(milliseconds(100));
+  std::size_t refused = 0;
+  for (auto caller : callers)
+    refused += !answers(caller).empty() && !last(caller).ok();
+  CHECK(refused == 0);
+  serve("p", TransactionState::Open);
+  for (auto caller : callers)
+    CHECK(last(caller).ok());
+}
