Take who waits for a target's connection, and for how long, out of its pool

No change of what is decided: the queue is a module of its own without connections, which takes the time as a parameter.

--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -54,39 +54,12 @@
   waiter.End = now + request.Total;
   if (request.GoalLeft)
     waiter.Goal = now + *request.GoalLeft;
-  auto place = std::find_if(Waiting.begin(), Waiting.end(), [&](const auto &w) {
-    return w.Priority > request.Priority;
-  });
-  // Load: more work than the target can do, for seconds. Harm: what waits is
-  // served so late that its caller has no use for it, or is refused when there
-  // is no time left to come back. One that is turned away at once comes back
-  // while it can still be served in time.
-  waiter.TooLate = now + expectedWait(waiter) > until;
-  Waiting.insert(place, std::move(waiter));
+  Waiting.push(std::move(waiter), isFree(), MostRunning, now);
   if (!Retired)
     assign();
   return id;
 }
 
-/// \return whether it has its turn before one that would come now.
-bool TargetPool::goesFirst(const Waiter &it, const Waiter &newcomer) {
-  if (it.Priority != newcomer.Priority)
-    return it.Priority < newcomer.Priority;
-  return it.First.EndsLease || !newcomer.First.EndsLease;
-}
-
-/// What is sent at once is answered at once, so the places to run free up one
-/// after the other.
-Duration TargetPool::expectedWait(const Waiter &waiter) const {
-  if (isFree())
-    return {};
-  auto ahead =
-      std::count_if(Waiting.begin(), Waiting.end(),
-                    [&](const Waiter &it) { return goesFirst(it, waiter); });
-  return AnswerTime.Value * (ahead + 1) /
-         static_cast<Duration::rep>(MostRunning);
-}
-
 void TargetPool::run(LeaseId lease, Batch next, OnBatch done) {
   auto it = findLease(lease);
   auto end = Time.now() + next.Patience;
@@ -94,9 +67,7 @@
 }
 
 bool TargetPool::owns(LeaseId lease) const {
-  return Leases.contains(lease) ||
-         std::any_of(Waiting.begin(), Waiting.end(),
-                     [&](const Waiter &it) { return it.Lease == lease; });
+  return Leases.contains(lease) || Waiting.contains(lease);
 }
 
 bool TargetPool::isHeld(LeaseId lease) const {
@@ -109,14 +80,7 @@
 }
 
 void TargetPool::abandon(LeaseId lease) {
-  auto waiter = std::find_if(
-      Waiting.begin(), Waiting.end(),
-      [&](const Waiter &candidate) { return candidate.Lease == lease; });
-  if (waiter != Waiting.end()) {
-    Waiting.erase(waiter);
-    return;
-  }
-  if (!Leases.contains(lease))
+  if (Waiting.erase(lease) || !Leases.contains(lease))
     return;
   auto it = findLease(lease);
   it->second.Abandoned = true;
@@ -135,39 +99,17 @@
       }));
 }
 
-/// \return the one to run next: of the highest priority that waits the first
-/// that can still be answered in time, or the first if none can. Load: more
-/// work than the target can do. A transaction takes several statements' work
-/// for one caller, so single statements go before it: more callers are served.
-std::deque<TargetPool::Waiter>::iterator TargetPool::nextWaiter() {
-  auto first = Waiting.begin();
-  auto inTime = Time.now() + limits::GoalReserve;
-  auto transaction = Waiting.end();
-  for (auto it = first; it != Waiting.end(); ++it) {
-    if (it->Priority != first->Priority)
-      break;
-    if (it->Goal && *it->Goal < inTime)
-      continue;
-    if (it->First.EndsLease)
-      return it;
-    if (transaction == Waiting.end())
-      transaction = it;
-  }
-  return transaction == Waiting.end() ? first : transaction;
-}
-
 /// Load: more work than the target runs. Sent all at once, what is beyond its
 /// queue is refused by it whatever its priority. The waiting one that is
 /// chosen takes the idle connection that needs least to serve it; statements
 /// of open transactions do not wait here.
 void TargetPool::assign() {
   while (!Waiting.empty() && running() < MostRunning) {
-    auto next = nextWaiter();
-    auto it = bestIdle(next->First.Session);
+    const auto &next = Waiting.next(Time.now());
+    auto it = bestIdle(next.First.Session);
     if (it == Connections.end())
       break;
-    auto waiter = std::move(*next);
-    Waiting.erase(next);
+    auto waiter = Waiting.take(next.Lease);
     noteWait(waiter);
     start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done),
           waiter.End);
@@ -305,7 +247,7 @@
   running.Result.End = BatchEnd::Whole;
   LastAnswer = Time.now();
   if (isCallers(running.Work))
-    AnswerTime.add(LastAnswer - running.Sent);
+    Waiting.noteAnswer(LastAnswer - running.Sent);
   bool idle = running.Result.Answers.back().State == TransactionState::Idle;
   running.Result.Kept = !running.Work.EndsLease;
   bool ends = running.Work.EndsLease || connection.Abandoned;
@@ -404,8 +346,7 @@
 }
 
 void TargetPool::refuseWaiting(const char *why) {
-  auto waiting = std::exchange(Waiting, {});
-  for (auto &it : waiting)
+  for (auto &it : Waiting.takeAll())
     refuse(it, why);
 }
 
@@ -457,16 +398,7 @@
       Port.close(it->first);
     it = old ? Connections.erase(it) : std::next(it);
   }
-  std::vector<Waiter> over;
-  for (auto it = Waiting.begin(); it != Waiting.end();) {
-    if (now < it->Until && !it->TooLate) {
-      ++it;
-      continue;
-    }
-    over.push_back(std::move(*it));
-    it = Waiting.erase(it);
-  }
-  for (auto &it : over)
+  for (auto &it : Waiting.takeOver(now))
     refuse(it, "no connection free in time");
   openMore();
 }
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -5,11 +5,10 @@
 #ifndef PERIDOTFALL_PROXY_TARGET_POOL_H
 #define PERIDOTFALL_PROXY_TARGET_POOL_H
 
-#include "peridotfall/running_median.h"
 #include "proxy/directory.h"
 #include "proxy/lease.h"
+#include "proxy/wait_queue.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -32,12 +31,6 @@
 /// An idle connection is closed after this long, so that another daemon can
 /// have its place; longer than the pauses of one session.
 inline constexpr milliseconds IdleConnection{15'000};
-/// A statement that has less than this left until its answer is of little use
-/// gives way to those of its priority that have more. Load: more work than the
-/// target can do, for seconds. Harm without it: all wait about as long as they
-/// may, and nearly all are answered too late. Reason: a target with its full
-/// share of six statements a slot, 18 ms each, takes about so long.
-inline constexpr milliseconds GoalReserve{100};
 /// A target that has answered nothing for so long is not taken for one that is
 /// merely busy: longer than one long statement keeps all its slots.
 inline constexpr milliseconds SilentAfter{250};
@@ -127,24 +120,9 @@
     bool Abandoned = false;
     TimePoint Since;
   };
-  struct Waiter {
-    LeaseId Lease;
-    unsigned Priority = 0;
-    Batch First;
-    OnBatch Done;
-    TimePoint Since;
-    TimePoint Until;
-    TimePoint End;
-    std::optional<TimePoint> Goal;
-    bool TooLate = false; ///< Its turn is likely to come only after Until.
-  };
   using ConnectionIt = std::map<ConnectionId, Connection>::iterator;
 
-  static bool goesFirst(const Waiter &it, const Waiter &newcomer);
-  /// \return how long a new lease is likely to wait for its turn.
-  Duration expectedWait(const Waiter &waiter) const;
   ConnectionIt findLease(LeaseId lease);
-  std::deque<Waiter>::iterator nextWaiter();
   void assign();
   void start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done,
              TimePoint end);
@@ -170,8 +148,7 @@
   bool Retired = false;
   std::map<ConnectionId, Connection> Connections;
   std::map<LeaseId, ConnectionId> Leases;
-  std::deque<Waiter> Waiting;
-  RunningMedian AnswerTime; ///< Of a caller's statement once it is sent.
+  WaitQueue Waiting;
   TimePoint LastAnswer{};
   TimePoint OpenAfter{};
   bool Failing = false; ///< The last try to reach it got no answer.
