--- a/src/proxy/gone_members.h
+++ b/src/proxy/gone_members.h
@@ -19,7 +19,8 @@
 /// A daemon that nobody has heard of for so long is removed. Load: VMs that
 /// are replaced under new names all day. Harm of never: each daemon probes
 /// more and more that are gone. Harm of too soon: a daemon that was frozen has
-/// to announce itself anew. Reason: longer than any freeze or cut seen.
+/// to announce itself anew. Reason: longer than a usual
+/// freeze or cut.
 inline constexpr std::chrono::seconds DaemonGone{20};
 /// Objects removed at once, so that a failure domain's return does not use up
 /// the store's writes.
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -31,9 +31,7 @@
 inline constexpr milliseconds WatchWait{8'000};
 /// The same of the one kind by which an outage is noticed, for all kinds.
 /// It is so much shorter than the time in which a configuration must be in
-/// force: the rest is for the list that follows. Load: 70 VMs, each with a call
-/// in each wait. Gain, with the pauses below: 5,301 calls of all VMs on a calm
-/// day of 54 s became 3,281.
+/// force: the rest is for the list that follows.
 inline constexpr milliseconds SentinelReserve{500};
 inline constexpr milliseconds LeastSentinelWait{500};
 /// Pause before the next watch of a kind that has just changed. Load: all VMs
--- a/src/proxy/paths.h
+++ b/src/proxy/paths.h
@@ -34,9 +34,9 @@
 /// any round trip and wait for five statements' time at the most.
 inline constexpr std::size_t RunningPerSlot = 6;
 /// The same at the least for one holder: with fewer a single busy VM could not
-/// fill the target's slots. So holders are no more than the slots allow: 35 of
-/// 70 VMs, by connections alone, sent 105 statements at once to a target that
-/// takes 27, and it refused one arrival in eleven on a calm day.
+/// fill the target's slots. So holders are no more than the slots allow: as
+/// many as the connections allow would each send their least at once, and the
+/// target would refuse what is beyond its queue.
 inline constexpr std::size_t LeastRunning = 3;
 /// Between two probes of a path that failed.
 inline constexpr std::chrono::milliseconds PathProbe{250};
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -18,16 +18,16 @@
 
 /// Share of a statement's limit that it may wait for a primary or one of its
 /// connections. Load: a change of primary. Harm: all that waits runs into its
-/// limit together with no time left to run. Reason: work of 3 to 30 ms needs
-/// little, and a third of 800 ms still leaves a queue of ten statements time.
+/// limit together with no time left to run. Reason: the third that is left is
+/// the work of a queue of several statements.
 inline constexpr double PrimaryWaitShare = 0.65;
 /// Longest wait of a read for a connection to the target chosen for it;
 /// another target may have one. Reason: a few statements' time.
 inline constexpr milliseconds ReadWait{120};
 /// Share of a statement's limit after which a read that got no answer is
 /// tried at another target, and the least such time. Load: a target that is
-/// silent. Harm: all its reads run into their limit. Reason: the longest work
-/// is 110 ms for a limit of 1,200 ms, and 22 ms for one of 800 ms.
+/// silent. Harm: all its reads run into their limit. Reason: longer than the
+/// longest work of a read, and two such tries fit into the limit.
 inline constexpr double ReadPatienceShare = 0.4;
 inline constexpr milliseconds LeastReadPatience{150};
 /// Tries of one statement, the first included.
@@ -41,8 +41,8 @@
 inline constexpr milliseconds BusyPause{15};
 /// The same at the most; each pause is one longer than the one before.
 inline constexpr milliseconds MostBusyPause{120};
-/// When a caller whose statement found no primary shall come back. A change
-/// of primary takes 0.6 to 1.6 s from the failure.
+/// When a caller whose statement found no primary shall come back: about the
+/// rest of a change of primary once a statement has waited for it.
 inline constexpr milliseconds PrimaryRetryAfter{400};
 /// The same where connections or slots were taken: some statements' time.
 inline constexpr milliseconds BusyRetryAfter{150};
--- a/src/proxy/succession.h
+++ b/src/proxy/succession.h
@@ -43,8 +43,8 @@
 /// Between a leaving primary's notice and the choice: writes that the other
 /// daemons had sent before they knew are answered by then.
 inline constexpr milliseconds HandoverSettle{120};
-/// After a promotion was accepted, until another is tried. A promotion takes
-/// 0.3 to 1 s.
+/// After a promotion was accepted, until another is tried: longer than one
+/// takes to be carried out.
 inline constexpr milliseconds PromotionSettle{2'000};
 /// A call of the platform that is silent for so long is made again beside the
 /// first, so many at once at most. Load: answers of the platform that are
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -19,8 +19,8 @@
 
 using std::chrono::milliseconds;
 
-/// Longest wait for a target's greeting. A greeting takes 12 to 27 ms of a
-/// slot; at a full queue of 24 statements of 18 ms on 3 slots it waits 150 ms.
+/// Longest wait for a target's greeting, which takes a slot for a while and
+/// waits in the target's queue before.
 inline constexpr milliseconds GreetingLimit{500};
 /// Pause after a target refused a connection because all of its were taken.
 /// Reason: those that hold them need about a statement's time to give one up.
--- a/src/proxy/wait_queue.h
+++ b/src/proxy/wait_queue.h
@@ -22,8 +22,8 @@
 /// A statement that has less than this left until its answer is of little use
 /// gives way to those of its priority that have more. Load: more work than the
 /// target can do, for seconds. Harm without it: all wait about as long as they
-/// may, and nearly all are answered too late. Reason: a target with its full
-/// share of six statements a slot, 18 ms each, takes about so long.
+/// may, and nearly all are answered too late. Reason: about as long as a target
+/// with its full share of statements takes for the last of them.
 inline constexpr std::chrono::milliseconds GoalReserve{100};
 
 } // namespace limits
