Believe a reported age over a replica's position

Cause: on the HTTP/2 path the daemon that holds a replica's connections reports the age of its view; since the lag is learnt from positions too, a position would have replaced it. Found on reading the diff; no run showed it. Test: fails on the commit before.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -143,17 +143,19 @@
 void Placement::learnLag(const AnswerReport &report, Load &load,
                          TimePoint now) {
   constexpr double NewWeight = 0.2;
+  load.Applied = std::max(load.Applied, report.At);
   if (report.Age) {
     load.Lag = load.LagKnown ? scaled(load.Lag, 1 - NewWeight) +
                                    scaled(*report.Age, NewWeight)
                              : *report.Age;
     load.LagKnown = true;
+    return;
   }
   if (report.FromPrimary)
     return;
   if (report.At != Position{})
     learnApplied(report.At, load, now);
-  if (report.Code != AnswerCode::Behind || report.Age)
+  if (report.Code != AnswerCode::Behind)
     return;
   // It lacks a position, so its lag is at least that one's age.
   auto least = now - Head.committedBy(report.NotBefore, now) +
--- a/tests/placement/placement_test.cpp
+++ b/tests/placement/placement_test.cpp
@@ -135,6 +135,38 @@
   CHECK(choose(stale(seconds(5))).Target.Value == "desk");
 }
 
+// A daemon that holds a replica's connections knows its lag better than a
+// position tells, which may be old because nothing was written since.
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "age of a replica's view reported, its position does not "
+                  "replace it") {
+  Reads.noteHead({1, 8}, Time.now());
+  Time.advance(seconds(2));
+  Reads.noteHead({1, 9}, Time.now());
+  Time.advance(seconds(2));
+  AnswerReport it;
+  it.Target = Here.Name;
+  it.Mode = Access::StaleRead;
+  it.At = {1, 7};
+  it.Age = milliseconds(5);
+  Reads.started(Here.Name);
+  Reads.answered(it, 2, Time.now());
+  CHECK_FALSE(Reads.lagsBy(Here.Name, milliseconds(100)));
+}
+
+TEST_CASE_FIXTURE(PlacementFixture,
+                  "replica's position known, its lag is the age of the next") {
+  Reads.noteHead({1, 8}, Time.now());
+  Time.advance(seconds(2));
+  Reads.noteHead({1, 9}, Time.now());
+  Time.advance(seconds(2));
+  Reads.noteApplied(Here.Name, {1, 8}, Time.now());
+  CHECK(Reads.lagsBy(Here.Name, seconds(2)));
+  CHECK_FALSE(Reads.lagsBy(Here.Name, milliseconds(2'100)));
+  Reads.noteApplied(Here.Name, {1, 9}, Time.now());
+  CHECK_FALSE(Reads.lagsBy(Here.Name, milliseconds(100)));
+}
+
 TEST_CASE("link budget, spent, opens again and counts every byte") {
   ManualClock time;
   LinkBudget it;
