Say who did not answer a call on the store, and how old a copy is

What callers saw: a session served or refused by a replaced configuration, with no line that explains it.

Cause: the log had the loss and the return of the store only. A call that hangs, a daemon that watches for others and is cut, and a copy that nobody confirms looked alike, and an answer to a caller did not name the version that decided.

Change: PF2008 for each call on the store, a watching daemon or a neighbour that is not answered, with the wait and the age of the copy; PF2009 and PF2010 when the configuration's copy is older than its bound and again confirmed; version and age on rejected sessions, removed routes and statements (PF5010 is new). The age counts from the store's word, also where another daemon passed it on. A failed question for a copy was swallowed without a line.

Tests: the age and its lines; both fail without the change.

--- a/src/proxy/copies.cpp
+++ b/src/proxy/copies.cpp
@@ -5,6 +5,9 @@
 
 namespace peridotfall::proxy {
 
+using telemetry::Event;
+using telemetry::field;
+
 namespace {
 
 constexpr int StatusOk = 200;
@@ -36,19 +39,24 @@
   std::uniform_int_distribution<std::size_t> pick(0, Addresses.size() - 1);
   auto body =
       messages::encode(messages::CopyRequest{mirror.kind(), mirror.revision()});
-  auto take = [&mirror](const http::CallResult &result) {
-    if (!result || result.value().Status != StatusOk)
-      return;
-    auto copy = messages::decodeCopyAnswer(result.value().Body);
-    if (copy && mirror.takeCopy(copy.value().Objects, copy.value().Revision))
-      telemetry::log(
-          telemetry::Event::CopyTaken,
-          {telemetry::field("kind", mirror.kind()),
-           telemetry::field("revision", copy.value().Revision),
-           telemetry::field("objects", copy.value().Objects.size())});
+  const auto &address = Addresses[pick(Random)];
+  auto take = [&mirror, address](const http::CallResult &result) {
+    bool answered = result && result.value().Status == StatusOk;
+    auto copy = answered ? messages::decodeCopyAnswer(result.value().Body)
+                         : Result<messages::CopyAnswer>(Error{});
+    if (!copy)
+      telemetry::log(Event::StoreCallUnanswered,
+                     {field("kind", mirror.kind()), field("call", "copy"),
+                      field("asked", address)});
+    else if (mirror.takeCopy(copy.value().Objects, copy.value().Revision))
+      telemetry::log(Event::CopyTaken,
+                     {field("kind", mirror.kind()),
+                      field("revision", copy.value().Revision),
+                      field("objects", copy.value().Objects.size()),
+                      field("from", address)});
   };
-  Links.call(Addresses[pick(Random)], messages::CopyPath, std::move(body),
-             limits::CopyLimit, take);
+  Links.call(address, messages::CopyPath, std::move(body), limits::CopyLimit,
+             take);
 }
 
 bool Copies::handle(const http::Request &request,
--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -27,7 +27,8 @@
 
 Mirror::Mirror(MirrorOptions options, ObjectSource &source, const Clock &clock)
     : Set(std::move(options)), Source(source), Time(clock),
-      Pause(Set.Backoff, Set.Seed), LastAnswer(clock.now()) {}
+      Pause(Set.Backoff, Set.Seed), LastAnswer(clock.now()),
+      ConfirmedAt(clock.now()) {}
 
 void Mirror::start() { refresh(); }
 
@@ -90,7 +91,7 @@
   if (!EverCurrent)
     DeletionsSince = listing.Revision;
   Revision = listing.Revision;
-  regained();
+  regained(Duration{});
   MustList = false;
   auto before = std::exchange(Copy, std::move(listing.All));
   Vanished.clear();
@@ -144,7 +145,7 @@
     lost();
     return;
   }
-  regained();
+  regained(changes.Age);
   Revision = std::max(Revision, changes.Revision);
   for (const auto &it : changes.Objects) {
     if (it.Deleted) {
@@ -207,8 +208,9 @@
 /// Load: an outage of the store in which the entries of live targets lapse.
 /// Harm: on its return no target is known, and everything is refused. The
 /// writers come back within a known time; an entry missing after it is gone.
-void Mirror::regained() {
+void Mirror::regained(Duration age) {
   LastAnswer = Time.now();
+  ConfirmedAt = std::max(ConfirmedAt, LastAnswer - age);
   auto failures = Pause.failures();
   Pause.succeeded();
   if (Current)
@@ -225,8 +227,21 @@
   EverCurrent = true;
 }
 
+void Mirror::reportAge(TimePoint now) {
+  auto age = now - ConfirmedAt;
+  bool old = Set.ReportAge.count() > 0 && age > Set.ReportAge;
+  if (old == std::exchange(Unconfirmed, old))
+    return;
+  telemetry::log(
+      old ? Event::CopyUnconfirmed : Event::CopyConfirmed,
+      {field("kind", Set.Kind), field("revision", Revision),
+       field("age_ms", std::chrono::duration_cast<milliseconds>(age).count()),
+       field("call_pending", Current ? "yes" : "no")});
+}
+
 void Mirror::tick() {
   auto now = Time.now();
+  reportAge(now);
   if (NextTry && now >= *NextTry) {
     NextTry.reset();
     if (!MustList)
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -29,7 +29,9 @@
 /// How long a watch may wait for a change. Longer ones cost fewer calls; one
 /// whose answer was lost in an outage is noticed only when it is over.
 inline constexpr milliseconds WatchWait{8'000};
-/// The same of the one kind by which an outage is noticed, for all kinds.
+/// Beyond its wait, until a watch counts as unanswered.
+inline constexpr milliseconds WatchSlack{500};
+/// The wait of the one kind by which an outage is noticed, for all kinds.
 /// It is so much shorter than the time in which a configuration must be in
 /// force: the rest is for the list that follows.
 inline constexpr milliseconds SentinelReserve{500};
@@ -90,6 +92,7 @@
   std::vector<StoredObject> Objects;
   bool More = false;
   std::uint64_t Revision = 0;
+  Duration Age{}; ///< Since the store said so.
 };
 /// A watch's answer has the same fields.
 using ObjectChanges = ObjectPage;
@@ -128,6 +131,9 @@
   bool KeepWhileAway = false;
   milliseconds WatchWait = limits::WatchWait;
   milliseconds ChangePause{0}; ///< Before the watch that follows a change.
+  /// A copy that the store has not confirmed for so long is reported in the
+  /// log. Zero: none is.
+  milliseconds ReportAge{0};
 };
 
 /// Not synchronised.
@@ -147,8 +153,12 @@
   void refresh(std::function<void()> done = nullptr);
   /// \return whether the store answered last.
   bool isCurrent() const { return Current; }
-  /// \return when the store last answered; the start if it never did.
+  /// \return when the store, or the daemon that watches for this one, last
+  /// answered; the start if it never did.
   TimePoint lastAnswer() const { return LastAnswer; }
+  /// \return when the store last confirmed the copy, to this daemon or to the
+  /// one that watches for it; the start if it never did.
+  TimePoint confirmedAt() const { return ConfirmedAt; }
   const std::string &kind() const { return Set.Kind; }
   const Objects &objects() const { return Copy; }
   /// \return the store's revision that the copy is of.
@@ -176,7 +186,8 @@
   void watchOn();
   void takeChanges(const ObjectChanges &changes);
   void lost();
-  void regained();
+  void regained(Duration age);
+  void reportAge(TimePoint now);
   void remove(const std::string &name);
   void noteDeletion(const std::string &name, std::uint64_t revision);
   void publish();
@@ -192,6 +203,8 @@
   std::uint64_t Round = 0; ///< Answers of older rounds are passed over.
   std::optional<TimePoint> NextTry;
   TimePoint LastAnswer;
+  TimePoint ConfirmedAt;
+  bool Unconfirmed = false; ///< For longer than is reported.
   bool Current = false;
   bool EverCurrent = false;
   bool MustList = true;
--- a/src/proxy/session_units.cpp
+++ b/src/proxy/session_units.cpp
@@ -55,15 +55,17 @@
     return;
   }
   Unit unit;
-  if (inTransaction)
+  if (inTransaction) {
     unit.Served = session.Open.Served;
-  else {
+    unit.Version = session.Open.Version;
+  } else {
     auto route = Table.Routes.find(session.Database);
     if (route == Table.Routes.end()) {
-      answerError(session, ErrorKind::NoDatabase, "the route was removed");
+      rejectRemoved(session, it.Id);
       return;
     }
     unit.Served = route->second;
+    unit.Version = Table.Version;
   }
   unit.Serial = ++LastSerial;
   unit.Began = now;
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -15,7 +15,8 @@
 
 Sessions::Sessions(Groups &groups, CallerPort &port, ProxyMetrics &metrics,
                    const Clock &clock)
-    : Targets(groups), Port(port), Counts(metrics), Time(clock) {
+    : Targets(groups), Port(port), Counts(metrics), Time(clock),
+      RoutesConfirmedAt(clock.now()) {
   Targets.OnLeader = [this](const GroupName &group) { resume(group); };
   Targets.OnWaited = [this](Duration waited) {
     countWait(Counts, WaitPlace::Connection, waited);
@@ -58,7 +59,8 @@
   if (!Table.Routes.contains(session.Database)) {
     telemetry::log(Event::SessionRejected,
                    {field("database", session.Database.Value),
-                    field("version", Table.Version)});
+                    field("version", Table.Version),
+                    field("confirmed_ms_ago", routesAge().count())});
     All.erase(id);
     Port.reject(id, {ErrorKind::NoDatabase, "no route has this name"});
     return;
@@ -191,12 +193,13 @@
   }
   auto route = Table.Routes.find(session.Database);
   if (route == Table.Routes.end()) {
-    answerError(session, ErrorKind::NoDatabase, "the route was removed");
+    rejectRemoved(session, "");
     return;
   }
   session.Open = {};
   session.Open.ReadOnly = readOnly;
   session.Open.Served = route->second;
+  session.Open.Version = Table.Version;
   session.State = TransactionState::Open;
   answerDone(session);
 }
@@ -266,6 +269,8 @@
       answer.ok() ? Event::StatementServed : Event::StatementFailed,
       {field("request", unit.It.Id), field("database", session.Database.Value),
        field("target", unit.Target.Value), field("tries", unit.Tries),
+       field("version", unit.Version),
+       field("confirmed_ms_ago", routesAge().count()),
        field("not_before",
              least ? fmt::format("{}.{}", least->InTerm, least->Index) : "-"),
        field("answer", answer.ok() ? "ok" : nameOf(answer.Error->Kind)),
@@ -274,6 +279,20 @@
                  .count())});
 }
 
+void Sessions::rejectRemoved(Session &session, const std::string &request) {
+  telemetry::log(Event::RouteRemoved,
+                 {field("request", request),
+                  field("database", session.Database.Value),
+                  field("version", Table.Version),
+                  field("confirmed_ms_ago", routesAge().count())});
+  answerError(session, ErrorKind::NoDatabase, "the route was removed");
+}
+
+milliseconds Sessions::routesAge() const {
+  return std::chrono::duration_cast<milliseconds>(Time.now() -
+                                                  RoutesConfirmedAt);
+}
+
 void Sessions::answerDone(Session &session) {
   Answer answer;
   answer.Signature = "-";
@@ -309,7 +328,8 @@
       Event::StatementRefused,
       {field("request", unit.It.Id), field("database", session.Database.Value),
        field("group", unit.Served.Group.Value), field("why", why),
-       field("tries", unit.Tries), field("last_target", unit.Target.Value),
+       field("version", unit.Version), field("tries", unit.Tries),
+       field("last_target", unit.Target.Value),
        field("waited_ms",
              std::chrono::duration_cast<milliseconds>(Time.now() - unit.Began)
                  .count()),
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -78,6 +78,8 @@
   /// \return whether it is newer than the one in force; else nothing changes.
   bool takeRoutes(const RoutingTable &table);
   const RoutingTable &routes() const { return Table; }
+  /// \param at when the store last confirmed that the routes are the newest.
+  void confirmRoutes(TimePoint at) { RoutesConfirmedAt = at; }
 
   void start(CallerId caller, const DatabaseName &database);
   void statement(CallerId caller, Statement it);
@@ -99,6 +101,7 @@
     bool ReadOnly = false;
     bool Wrote = false;
     Route Served;
+    std::uint64_t Version = 0; ///< Of the routing table that Served is of.
     LeaseId Lease;
     TargetName Target;
     /// Its connection was lost; the next statement says so.
@@ -108,6 +111,7 @@
   struct Unit {
     Statement It;
     Route Served;
+    std::uint64_t Version = 0; ///< Of the routing table that Served is of.
     std::uint64_t Serial = 0;
     TimePoint Began;
     TimePoint Until;
@@ -181,6 +185,8 @@
   void report(Session &session, Group &group, const BatchResult &result);
 
   void deliver(Session &session, Answer answer);
+  /// \param request id of the statement; empty where it is ours to answer.
+  void rejectRemoved(Session &session, const std::string &request);
   void answerDone(Session &session);
   void answerError(Session &session, ErrorKind kind, std::string detail);
   void refuse(Session &session, milliseconds retryAfter, const char *why);
@@ -189,6 +195,8 @@
   using UnitHandler = void (Sessions::*)(Session &, const BatchResult &);
   OnBatch guarded(const Session &session, UnitHandler then);
   void logServed(const Session &session, const Answer &answer) const;
+  /// \return how long ago the store last confirmed the routes.
+  milliseconds routesAge() const;
   void tickSession(Session &session, TimePoint now);
 
   Groups &Targets;
@@ -196,6 +204,7 @@
   ProxyMetrics &Counts;
   const Clock &Time;
   RoutingTable Table;
+  TimePoint RoutesConfirmedAt;
   std::map<CallerId, Session> All;
   std::uint64_t LastSerial = 0;
   std::optional<TimePoint> StoppingSince;
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -1,10 +1,23 @@
 #include "proxy/shared_watch.h"
 
+#include "telemetry/events.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace peridotfall::proxy {
 
+using telemetry::Event;
+using telemetry::field;
+
+namespace {
+
+std::int64_t wholeMillis(Duration it) {
+  return std::chrono::duration_cast<milliseconds>(it).count();
+}
+
+} // namespace
+
 WatchPlan planWatches(const VmName &self, const DomainName &domain,
                       const std::vector<Member> &live) {
   std::vector<Member> near;
@@ -41,30 +54,48 @@
   Plan = planWatches(self, domain, live);
 }
 
-void SharedWatch::noteStore(const std::string &kind, const ObjectPage &page) {
+void SharedWatch::logUnanswered(const std::string &kind, const char *call,
+                                const std::string &asked, TimePoint began) {
+  auto now = Time.now();
+  auto fresh = FreshAt.find(kind);
+  telemetry::log(
+      Event::StoreCallUnanswered,
+      {field("kind", kind), field("call", call), field("asked", asked),
+       field("waited_ms", wholeMillis(now - began)),
+       field("age_ms", fresh == FreshAt.end() ? std::string("-")
+                                              : std::to_string(wholeMillis(
+                                                    now - fresh->second)))});
+}
+
+void SharedWatch::noteStore(const std::string &kind, const char *call,
+                            TimePoint began, const ObjectPage &page) {
   bool answered = page.Outcome != ReadOutcome::Unavailable;
   if (answered)
     FreshAt[kind] = Time.now();
+  else
+    logUnanswered(kind, call, "store", began);
   if (OnStoreCall)
     OnStoreCall(kind, answered);
 }
 
 void SharedWatch::list(const std::string &kind, const std::string &after,
                        milliseconds limit, OnPage done) {
-  Store.list(kind, after, limit, [this, kind, done](ObjectPage page) {
-    noteStore(kind, page);
-    done(std::move(page));
-  });
+  Store.list(kind, after, limit,
+             [this, kind, began = Time.now(), done](ObjectPage page) {
+               noteStore(kind, "list", began, page);
+               done(std::move(page));
+             });
 }
 
 void SharedWatch::watchStore(const std::string &kind, std::uint64_t revision,
                              milliseconds wait, OnChanges done) {
   if (Plan.ForOthers && kind == Sentinel)
     wait = std::min(wait, FreshFor / limits::FreshParts);
-  Store.watch(kind, revision, wait, [this, kind, done](ObjectChanges changes) {
-    noteStore(kind, changes);
-    done(std::move(changes));
-  });
+  Store.watch(kind, revision, wait,
+              [this, kind, began = Time.now(), done](ObjectChanges changes) {
+                noteStore(kind, "watch", began, changes);
+                done(std::move(changes));
+              });
 }
 
 const Member *SharedWatch::nextWatcher(TimePoint now) const {
@@ -93,13 +124,16 @@
     return;
   }
   auto answered =
-      [this, kind, revision, wait, vm = watcher->Vm,
+      [this, kind, revision, wait, began = now, vm = watcher->Vm,
        done = std::move(done)](const std::optional<messages::WatchAnswer> &it) {
         if (it && it->Changes.Outcome != ReadOutcome::Unavailable) {
           FreshAt[kind] = std::max(FreshAt[kind], Time.now() - it->Age);
-          done(it->Changes);
+          auto changes = it->Changes;
+          changes.Age = it->Age;
+          done(changes);
           return;
         }
+        logUnanswered(kind, "watch", vm.Value, began);
         PausedUntil[vm] = Time.now() + limits::WatcherPause;
         watch(kind, revision, wait, done);
       };
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -93,7 +93,10 @@
   const Member *nextWatcher(TimePoint now) const;
   void watchStore(const std::string &kind, std::uint64_t revision,
                   milliseconds wait, OnChanges done);
-  void noteStore(const std::string &kind, const ObjectPage &page);
+  void noteStore(const std::string &kind, const char *call, TimePoint began,
+                 const ObjectPage &page);
+  void logUnanswered(const std::string &kind, const char *call,
+                     const std::string &asked, TimePoint began);
 
   ObjectSource &Store;
   WatcherPort &Others;
--- a/tests/proxy/logs_test.cpp
+++ b/tests/proxy/logs_test.cpp
@@ -106,3 +106,27 @@
   CHECK(std::count(lines.begin(), lines.end(), "PF5009 lagging") >= 2);
   CHECK(lines.back() == "PF5002 no primary to run it");
 }
+
+// Guards against a session that is refused by old routes with no word of it.
+TEST_CASE_FIXTURE(
+    LogFixture, "session without a route, its line tells how old routes are") {
+  Callers.confirmRoutes(Time.now());
+  pass(milliseconds(700));
+  session("unknown");
+  CHECK(Lines.back().Event == "PF5001");
+  CHECK(Lines.back().Fields.at("confirmed_ms_ago") == "700");
+}
+
+// Guards against a removed route's statement that no line explains.
+TEST_CASE_FIXTURE(LogFixture,
+                  "statement after its route was removed, is logged") {
+  auto caller = session("orders");
+  auto table = Callers.routes();
+  ++table.Version;
+  table.Routes.erase(DatabaseName("orders"));
+  REQUIRE(Callers.takeRoutes(table));
+  send(caller, StatementKind::Write, "WRITE a x");
+  CHECK(last(caller).Error->Kind == ErrorKind::NoDatabase);
+  CHECK(Lines.back().Event == "PF5010");
+  CHECK(Lines.back().Fields.at("version") == std::to_string(table.Version));
+}
--- a/tests/proxy/mirror_test.cpp
+++ b/tests/proxy/mirror_test.cpp
@@ -1,6 +1,9 @@
 #include "proxy/mirror.h"
 
+#include "telemetry/log_writer.h"
+
 #include <doctest/doctest.h>
+#include <string>
 #include <utility>
 
 using namespace peridotfall;
@@ -198,3 +201,42 @@
   CHECK(sentinelWait(milliseconds(100)) == limits::LeastSentinelWait);
   CHECK(sentinelWait(milliseconds(60'000)) == limits::WatchWait);
 }
+
+// Guards against a call that hangs and leaves an old copy in force unseen.
+TEST_CASE("copy not confirmed in time while a call hangs, is reported once") {
+  std::string lines;
+  telemetry::setLineSink(
+      [&](const std::string &line) { lines += line + "\n"; });
+  ManualClock clock;
+  FakeSource source;
+  MirrorOptions options;
+  options.Kind = "configuration";
+  options.ReportAge = milliseconds(3'000);
+  Mirror copy(options, source, clock);
+  copy.start();
+  source.Lists[0](MirrorFixture::page({}, 5));
+  clock.advance(milliseconds(3'100));
+  copy.tick();
+  copy.tick();
+  auto unconfirmed = lines.find("PF2009");
+  REQUIRE(unconfirmed != std::string::npos);
+  CHECK(lines.find("call_pending=yes") != std::string::npos);
+  CHECK(lines.find("PF2009", unconfirmed + 1) == std::string::npos);
+  std::exchange(source.Watch, nullptr)(MirrorFixture::page({}, 7));
+  copy.tick();
+  CHECK(lines.find("PF2010") != std::string::npos);
+  telemetry::setLineSink(nullptr);
+}
+
+// Guards against an age that counts from the answer of another daemon, whose
+// own copy is older.
+TEST_CASE_FIXTURE(MirrorFixture,
+                  "answer of another daemon, copy is as old as that one's") {
+  Source.Lists[0](page({}, 5));
+  auto listed = Copy.confirmedAt();
+  pass(milliseconds(2'000));
+  auto changes = page({}, 6);
+  changes.Age = milliseconds(1'500);
+  Source.Watch(changes);
+  CHECK(Copy.confirmedAt() == listed + milliseconds(500));
+}
