Add tests that fail for configurations that come late

The store of the tests loses what is under way when it falls silent and what comes while it is, as connections do; the store of the earlier tests answered a watch that was sent into an outage as soon as it was reached again, so that none of them could fail.

--- /dev/null
+++ b/tests/adapter/http_client_test.cpp
@@ -0,0 +1,111 @@
+#include "http_client.h"
+
+#include <array>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <doctest/doctest.h>
+#include <memory>
+#include <vector>
+
+using namespace peridotfall::adapter;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Answers each call, until the connections that it has fall silent.
+class Server {
+public:
+  explicit Server(asio::io_context &loop)
+      : Acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    accept();
+  }
+  tcp::endpoint endpoint() const { return Acceptor.local_endpoint(); }
+  std::size_t accepted() const { return All.size(); }
+  void silenceOpenConnections() {
+    for (auto &it : All)
+      it->Silent = true;
+  }
+
+private:
+  struct Connection {
+    explicit Connection(tcp::socket socket) : Socket(std::move(socket)) {}
+
+    tcp::socket Socket;
+    std::string In;
+    bool Silent = false;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void accept() {
+    Acceptor.async_accept([this](std::error_code ec, tcp::socket socket) {
+      if (ec)
+        return;
+      All.push_back(std::make_shared<Connection>(std::move(socket)));
+      read(All.back());
+      accept();
+    });
+  }
+  void read(const ConnectionPtr &it) {
+    asio::async_read_until(it->Socket, asio::dynamic_buffer(it->In), "\r\n\r\n",
+                           [this, it](std::error_code ec, std::size_t n) {
+                             if (ec)
+                               return;
+                             it->In.erase(0, n);
+                             if (!it->Silent)
+                               answer(it);
+                             read(it);
+                           });
+  }
+  static void answer(const ConnectionPtr &it) {
+    static const std::string Ok =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    asio::async_write(it->Socket, asio::buffer(Ok),
+                      [it](std::error_code, std::size_t) {});
+  }
+
+  tcp::acceptor Acceptor;
+  std::vector<ConnectionPtr> All;
+};
+
+struct HttpClientFixture {
+  asio::io_context Loop;
+  Server There{Loop};
+  HttpClient Client{Loop, There.endpoint()};
+  std::vector<int> Statuses;
+
+  void call(milliseconds limit) {
+    HttpCall it;
+    it.Method = "GET";
+    it.Target = "/";
+    it.Limit = limit;
+    Client.call(std::move(it), [this](const HttpAnswer &answer) {
+      Statuses.push_back(answer.Status);
+    });
+  }
+  void runUntilAnswers(std::size_t n) {
+    while (Statuses.size() < n)
+      Loop.run_one();
+  }
+};
+
+} // namespace
+
+// Guards against calls that wait in turn on kept connections that are silent.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "call not answered, the next one takes a new connection") {
+  constexpr milliseconds Long{5'000};
+  constexpr milliseconds Short{100};
+  call(Long);
+  call(Long);
+  call(Long);
+  runUntilAnswers(3);
+  REQUIRE(There.accepted() == 3);
+  There.silenceOpenConnections();
+  call(Short);
+  runUntilAnswers(4);
+  CHECK(Statuses.back() == 0);
+  call(Short);
+  runUntilAnswers(5);
+  CHECK(Statuses.back() == 200);
+}
--- a/tests/proxy/shared_watch_test.cpp
+++ b/tests/proxy/shared_watch_test.cpp
@@ -218,3 +218,21 @@
   pass(ConfigurationLimit);
   CHECK(Own.revision() == OwnStore.Revision);
 }
+
+// Guards against a copy that is told as new by a daemon that has it, old, from
+// another one.
+TEST_CASE_FIXTURE(SharedWatchFixture,
+                  "daemon that asks another, tells how old its copy is") {
+  WatchHost second(Time);
+  second.add(Own, true);
+  pass(milliseconds(1'100));
+  WatchersStore.Reached = false;
+  constexpr milliseconds SinceThen{900};
+  pass(SinceThen);
+  std::optional<messages::WatchAnswer> told;
+  second.begin({Kind, 0, milliseconds(0)},
+               [&](const messages::WatchAnswer &it) { told = it; });
+  second.tick();
+  REQUIRE(told);
+  CHECK(told->Age >= SinceThen);
+}
--- /dev/null
+++ b/tests/proxy/store_outage_test.cpp
@@ -0,0 +1,219 @@
+#include "proxy/shared_watch.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <memory>
+#include <vector>
+
+using namespace peridotfall;
+using namespace peridotfall::proxy;
+
+namespace {
+
+constexpr auto Kind = "configuration";
+const DomainName Here("here");
+constexpr milliseconds Step{20};
+
+Member memberOf(std::size_t n) {
+  Member it;
+  it.Vm = VmName("vm-" + std::to_string(n));
+  it.Domain = Here;
+  it.InnerAddress = it.Vm.Value;
+  return it;
+}
+
+std::vector<Member> membersOf(std::size_t n) {
+  std::vector<Member> out;
+  for (std::size_t i = 0; i < n; ++i)
+    out.push_back(memberOf(i));
+  return out;
+}
+
+/// The store as one daemon reaches it. What is under way when it falls silent,
+/// and what comes while it is, is never answered.
+class SilentStore final : public ObjectSource {
+public:
+  explicit SilentStore(const Clock &clock) : Time(clock) {}
+
+  void list(const std::string &, const std::string &, milliseconds limit,
+            OnPage done) override {
+    Calls.push_back({0, Time.now(), Time.now() + limit, Silent, done});
+  }
+  void watch(const std::string &, std::uint64_t revision, milliseconds wait,
+             OnChanges done) override {
+    Calls.push_back({revision, Time.now() + wait,
+                     Time.now() + wait + peridotfall::proxy::limits::WatchSlack,
+                     Silent, done});
+  }
+  void fallSilent() {
+    Silent = true;
+    for (auto &it : Calls)
+      it.Lost = true;
+  }
+  void comeBack() { Silent = false; }
+  void change() { ++Revision; }
+  std::uint64_t revision() const { return Revision; }
+
+  void tick() {
+    auto now = Time.now();
+    std::vector<Call> ended;
+    auto isOver = [&](const Call &it) {
+      bool due = it.NewerThan < Revision || now >= it.Until;
+      return it.Lost ? now >= it.GivenUp : due;
+    };
+    auto first =
+        std::stable_partition(Calls.begin(), Calls.end(),
+                              [&](const Call &it) { return !isOver(it); });
+    std::move(first, Calls.end(), std::back_inserter(ended));
+    Calls.erase(first, Calls.end());
+    for (const auto &it : ended)
+      it.Done(it.Lost ? ObjectPage{} : page(it.NewerThan));
+  }
+
+private:
+  struct Call {
+    std::uint64_t NewerThan;
+    TimePoint Until;
+    TimePoint GivenUp;
+    bool Lost;
+    OnPage Done;
+  };
+  ObjectPage page(std::uint64_t newerThan) const {
+    ObjectPage out{ReadOutcome::Done, {}, false, Revision, {}};
+    if (newerThan < Revision)
+      out.Objects = {{"main", "{}", Revision, false}};
+    return out;
+  }
+
+  const Clock &Time;
+  std::uint64_t Revision = 7;
+  bool Silent = false;
+  std::vector<Call> Calls;
+};
+
+struct Daemon;
+
+/// Watches between daemons that reach one another without delay.
+struct DaemonLinks final : WatcherPort {
+  void watch(const std::string &address, const messages::WatchRequest &request,
+             milliseconds limit, OnWatchAnswer done) override;
+
+  std::vector<std::unique_ptr<Daemon>> *All = nullptr;
+};
+
+struct Daemon {
+  Daemon(const Member &self, const std::vector<Member> &live,
+         ObjectSource &store, DaemonLinks &links, milliseconds limit,
+         const Clock &clock)
+      : Self(self), Host(clock),
+        Watch(store, links, Kind, freshFor(limit), clock),
+        Copy({.Kind = Kind,
+              .Backoff = returnBackoff(1'000),
+              .WatchWait = sentinelWait(limit)},
+             Watch, clock) {
+    Host.add(Copy, true);
+    Watch.takeMembers(Self.Vm, Here, live);
+    Copy.start();
+  }
+  void tick() {
+    Copy.tick();
+    Host.tick();
+  }
+
+  Member Self;
+  WatchHost Host;
+  SharedWatch Watch;
+  Mirror Copy;
+};
+
+void DaemonLinks::watch(const std::string &address,
+                        const messages::WatchRequest &request, milliseconds,
+                        OnWatchAnswer done) {
+  for (auto &it : *All)
+    if (it->Self.InnerAddress == address)
+      it->Host.begin(request, [done](const messages::WatchAnswer &answer) {
+        done(answer);
+      });
+}
+
+/// Daemons of one failure domain before one store.
+struct OutageFixture {
+  ManualClock Time;
+  DaemonLinks Links;
+  std::vector<std::unique_ptr<Daemon>> All;
+  SilentStore Store{Time};
+
+  void start(std::size_t daemons, milliseconds limit) {
+    auto live = membersOf(daemons);
+    Links.All = &All;
+    for (const auto &it : live)
+      All.push_back(
+          std::make_unique<Daemon>(it, live, Store, Links, limit, Time));
+  }
+  void pass(Duration span) {
+    for (Duration done{}; done < span; done += Step) {
+      Time.advance(Step);
+      Store.tick();
+      for (auto &it : All)
+        it->tick();
+    }
+  }
+  std::size_t behind() const {
+    return static_cast<std::size_t>(
+        std::count_if(All.begin(), All.end(), [&](const auto &it) {
+          return it->Copy.revision() < Store.revision();
+        }));
+  }
+};
+
+/// Outages that begin at many moments of a watch's wait and last for long or
+/// short.
+struct Sweep {
+  std::size_t Daemons = 0;
+  milliseconds BeginsStep{};
+  milliseconds LastsStep{};
+};
+
+/// \return whether some daemon does not know within \p limit a change that the
+/// store takes on its return.
+bool isLateAfter(milliseconds begins, milliseconds lasts, std::size_t daemons,
+                 milliseconds limit) {
+  OutageFixture it;
+  it.start(daemons, limit);
+  it.pass(begins);
+  it.Store.fallSilent();
+  it.pass(lasts);
+  it.Store.comeBack();
+  it.Store.change();
+  it.pass(limit);
+  return it.behind() > 0;
+}
+
+unsigned countLate(const Sweep &sweep, milliseconds limit) {
+  constexpr milliseconds FirstBegin{8'000};
+  constexpr milliseconds Longest{6'000};
+  unsigned late = 0;
+  for (auto begins = FirstBegin; begins < FirstBegin + limit;
+       begins += sweep.BeginsStep)
+    for (auto lasts = Step; lasts <= Longest; lasts += sweep.LastsStep)
+      late += isLateAfter(begins, lasts, sweep.Daemons, limit);
+  return late;
+}
+
+} // namespace
+
+// Guards against a call sent into an outage that is waited for beyond its end.
+TEST_CASE("store back after an outage, daemons that ask others know a change "
+          "in time") {
+  constexpr Sweep Shared{13, milliseconds(1'100), milliseconds(100)};
+  CHECK(countLate(Shared, milliseconds(5'000)) == 0);
+  CHECK(countLate(Shared, milliseconds(3'000)) == 0);
+}
+
+// Guards against a watch whose silence is noticed only when the bound is over.
+TEST_CASE("store back after an outage, daemons that ask it themselves know a "
+          "change in time") {
+  constexpr Sweep Alone{2, milliseconds(20), milliseconds(1'500)};
+  CHECK(countLate(Alone, milliseconds(5'000)) == 0);
+  CHECK(countLate(Alone, milliseconds(3'000)) == 0);
+}
