Tell the age of a copy from the store's word, through any number of daemons

What callers see: a removed route served, or an added one refused, after a failure domain's daemons disagreed about who watches for them.

Cause: a daemon that is asked for its copy and has it from another daemon told the time since that one's answer, not since the store's word. Each daemon on the way took off up to the wait of a watch, so the bound on a copy's age did not hold. Happens where a daemon counts as watching in another's view and not in its own: a cut, a suspicion, a start.

Ruled out: circles. Who is asked ranks higher in the asker's view, always.

Change: one time for a copy, that of the store's word; the other is removed.

Test: daemon that asks another, tells how old its copy is.

--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -27,8 +27,7 @@
 
 Mirror::Mirror(MirrorOptions options, ObjectSource &source, const Clock &clock)
     : Set(std::move(options)), Source(source), Time(clock),
-      Pause(Set.Backoff, Set.Seed), LastAnswer(clock.now()),
-      ConfirmedAt(clock.now()) {}
+      Pause(Set.Backoff, Set.Seed), ConfirmedAt(clock.now()) {}
 
 void Mirror::start() { refresh(); }
 
@@ -209,8 +208,7 @@
 /// Harm: on its return no target is known, and everything is refused. The
 /// writers come back within a known time; an entry missing after it is gone.
 void Mirror::regained(Duration age) {
-  LastAnswer = Time.now();
-  ConfirmedAt = std::max(ConfirmedAt, LastAnswer - age);
+  ConfirmedAt = std::max(ConfirmedAt, Time.now() - age);
   auto failures = Pause.failures();
   Pause.succeeded();
   if (Current)
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -153,9 +153,6 @@
   void refresh(std::function<void()> done = nullptr);
   /// \return whether the store answered last.
   bool isCurrent() const { return Current; }
-  /// \return when the store, or the daemon that watches for this one, last
-  /// answered; the start if it never did.
-  TimePoint lastAnswer() const { return LastAnswer; }
   /// \return when the store last confirmed the copy, to this daemon or to the
   /// one that watches for it; the start if it never did.
   TimePoint confirmedAt() const { return ConfirmedAt; }
@@ -202,7 +199,6 @@
   std::uint64_t Revision = 0;
   std::uint64_t Round = 0; ///< Answers of older rounds are passed over.
   std::optional<TimePoint> NextTry;
-  TimePoint LastAnswer;
   TimePoint ConfirmedAt;
   bool Unconfirmed = false; ///< For longer than is reported.
   bool Current = false;
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -170,7 +170,7 @@
   messages::WatchAnswer out;
   if (isCurrent(*it.Of)) {
     out.Changes = it.Of->changesSince(it.NewerThan);
-    out.Age = now - (Sentinel ? Sentinel : it.Of)->lastAnswer();
+    out.Age = now - (Sentinel ? Sentinel : it.Of)->confirmedAt();
   }
   it.Done(std::move(out));
 }
