Wait for a call on the store no longer than its copy may age

What callers saw: on the grown deployments removed routes were served and added ones refused more than 5 s after the change, from the moment that VMs count as in touch after a silent store came back.

Cause: the time in which a configuration must be in force was spent on one call. A daemon asked the store itself, when those that watch for it had lost it, with a watch of 4.5 s and 0.5 s of slack, whatever the age of its copy was already. Sent into an outage such a call is never answered: the daemon counts as current and asks nobody for 5 s after the store is back, and all come back at once, which takes 1 to 3 s more. Where each daemon asks the store itself, its wait and the slack were the whole bound too, 2.5 + 0.5 s of 3 s.

Class: waits that each fit into a bound and together do not; belief that lasts as long as a call is pending.

Change: a copy may be as old as the bound less the slack and 1 s for the calls that follow; no watch of the configuration waits longer, and one that stands in for a watching daemon's answer waits for what the copy's age leaves. freshFor serves both and replaces two reserves of different size.

Ruled out: that VMs are judged while the store turns them away (trials without copies between daemons, 25 s behind, nothing broken); load, resets, compaction (trials, 0.1 s late).

The test of the watch's wait asked for a figure that left nothing for the next call; it is replaced by one that asks for the sum, which is stricter.

--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -20,9 +20,13 @@
   return out;
 }
 
+milliseconds freshFor(milliseconds configurationLimit) {
+  auto span = configurationLimit - limits::WatchSlack - limits::RecoveryReserve;
+  return std::max(span, limits::LeastWatchWait);
+}
+
 milliseconds sentinelWait(milliseconds configurationLimit) {
-  auto wait = configurationLimit - limits::SentinelReserve;
-  return std::clamp(wait, limits::LeastSentinelWait, limits::WatchWait);
+  return std::min(freshFor(configurationLimit), limits::WatchWait);
 }
 
 Mirror::Mirror(MirrorOptions options, ObjectSource &source, const Clock &clock)
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -31,11 +31,11 @@
 inline constexpr milliseconds WatchWait{8'000};
 /// Beyond its wait, until a watch counts as unanswered.
 inline constexpr milliseconds WatchSlack{500};
-/// The wait of the one kind by which an outage is noticed, for all kinds.
-/// It is so much shorter than the time in which a configuration must be in
-/// force: the rest is for the list that follows.
-inline constexpr milliseconds SentinelReserve{500};
-inline constexpr milliseconds LeastSentinelWait{500};
+/// What is left of the time in which a configuration must be in force once a
+/// call has gone unanswered: for the calls that follow it.
+inline constexpr milliseconds RecoveryReserve{1'000};
+/// Least wait of a watch.
+inline constexpr milliseconds LeastWatchWait{500};
 /// Pause before the next watch of a kind that has just changed. Load: all VMs
 /// announce themselves within a second, and each change wakes the watch of
 /// each. Harm of none: calls grow with the square of the VMs; of more: a target
@@ -119,7 +119,11 @@
 using Objects = std::map<std::string, StoredObject>;
 
 /// \param configurationLimit within which a configuration must be in force.
-/// \return how long a watch of the configuration may wait.
+/// \return the greatest age of a copy at which a call that would confirm it may
+/// still be waited for, so that silence is noticed in time to ask again.
+milliseconds freshFor(milliseconds configurationLimit);
+/// \return how long a watch of the configuration may wait, by which an outage
+/// is noticed for all kinds.
 milliseconds sentinelWait(milliseconds configurationLimit);
 
 struct MirrorOptions {
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -38,11 +38,6 @@
           false};
 }
 
-milliseconds freshFor(milliseconds configurationLimit) {
-  return std::max(configurationLimit - limits::FreshReserve,
-                  limits::LeastSharedWait);
-}
-
 SharedWatch::SharedWatch(ObjectSource &store, WatcherPort &others,
                          std::string sentinel, milliseconds freshFor,
                          const Clock &clock)
@@ -87,11 +82,24 @@
              });
 }
 
+/// Failure: the daemons that watch for this one lost the store, and it asks
+/// the store itself while that is silent. Symptom: the call hangs beyond the
+/// outage, and what has changed since is not known in time. The wait ends when
+/// the copy is too old, and so a call that replaces it is made in time.
+milliseconds SharedWatch::storeWait(const std::string &kind,
+                                    milliseconds wait) {
+  if (Plan.ForOthers && kind == Sentinel)
+    return std::min(wait, FreshFor / limits::FreshParts);
+  if (Plan.Ask.empty())
+    return wait;
+  auto left = std::chrono::duration_cast<milliseconds>(FreshAt[kind] +
+                                                       FreshFor - Time.now());
+  return std::min(wait, std::max(left, limits::LeastWatchWait));
+}
+
 void SharedWatch::watchStore(const std::string &kind, std::uint64_t revision,
                              milliseconds wait, OnChanges done) {
-  if (Plan.ForOthers && kind == Sentinel)
-    wait = std::min(wait, FreshFor / limits::FreshParts);
-  Store.watch(kind, revision, wait,
+  Store.watch(kind, revision, storeWait(kind, wait),
               [this, kind, began = Time.now(), done](ObjectChanges changes) {
                 noteStore(kind, "watch", began, changes);
                 done(std::move(changes));
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -32,9 +32,6 @@
 inline constexpr milliseconds LeastSharedWait{200};
 /// How long a daemon that gave no answer is not asked.
 inline constexpr milliseconds WatcherPause{2'000};
-/// What is left of the time in which a configuration must be in force for the
-/// call of the store that follows when a daemon that was asked is silent.
-inline constexpr milliseconds FreshReserve{1'000};
 /// Share of a copy's greatest age after which a daemon that watches for others
 /// has its outages noticed at the latest.
 inline constexpr int FreshParts = 2;
@@ -53,10 +50,6 @@
 WatchPlan planWatches(const VmName &self, const DomainName &domain,
                       const std::vector<Member> &live);
 
-/// \param configurationLimit within which a configuration must be in force.
-/// \return the greatest age of a copy.
-milliseconds freshFor(milliseconds configurationLimit);
-
 using OnWatchAnswer =
     std::function<void(const std::optional<messages::WatchAnswer> &)>;
 
@@ -91,6 +84,7 @@
 
 private:
   const Member *nextWatcher(TimePoint now) const;
+  milliseconds storeWait(const std::string &kind, milliseconds wait);
   void watchStore(const std::string &kind, std::uint64_t revision,
                   milliseconds wait, OnChanges done);
   void noteStore(const std::string &kind, const char *call, TimePoint began,
--- a/tests/proxy/mirror_test.cpp
+++ b/tests/proxy/mirror_test.cpp
@@ -195,11 +195,20 @@
   CHECK(source.Watch);
 }
 
-TEST_CASE("watch of the configuration, ends before one must be in force") {
-  CHECK(sentinelWait(milliseconds(3'000)) == milliseconds(2'500));
-  CHECK(sentinelWait(milliseconds(5'000)) == milliseconds(4'500));
-  CHECK(sentinelWait(milliseconds(100)) == limits::LeastSentinelWait);
-  CHECK(sentinelWait(milliseconds(60'000)) == limits::WatchWait);
+// Guards against a silent call that is noticed when the bound is over, with no
+// time left to ask again.
+TEST_CASE("watch of the configuration, its silence leaves time to ask again") {
+  for (auto bound : {milliseconds(3'000), milliseconds(5'000),
+                     milliseconds(6'000), milliseconds(60'000)}) {
+    auto noticed = sentinelWait(bound) + peridotfall::proxy::limits::WatchSlack;
+    CHECK(noticed + peridotfall::proxy::limits::RecoveryReserve <= bound);
+  }
+  CHECK(sentinelWait(milliseconds(3'000)) == milliseconds(1'500));
+  CHECK(sentinelWait(milliseconds(5'000)) == milliseconds(3'500));
+  CHECK(sentinelWait(milliseconds(100)) ==
+        peridotfall::proxy::limits::LeastWatchWait);
+  CHECK(sentinelWait(milliseconds(60'000)) ==
+        peridotfall::proxy::limits::WatchWait);
 }
 
 // Guards against a call that hangs and leaves an old copy in force unseen.
