Bound the watch of the targets by the time in which a leaving one gets no new work

What callers would see: a leaving target gets new work after its bound, on a VM whose one connection to the store fell silent.

Cause: the same as that of late configurations. A watch of the targets waited 8 s and 0.5 s of slack; 7 s is the bound. An outage is noticed by the watch of the configuration for all kinds, a single silent connection is not.

Change: the bound is read from the settings, and the wait leaves the slack and the time to ask again. One watchWait serves both kinds.

Test: the watch's silence leaves time to ask again, for this bound too; the setting is read, has its default, and a wrong one is reported.

--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -20,13 +20,13 @@
   return out;
 }
 
-milliseconds freshFor(milliseconds configurationLimit) {
-  auto span = configurationLimit - limits::WatchSlack - limits::RecoveryReserve;
+milliseconds freshFor(milliseconds limit) {
+  auto span = limit - limits::WatchSlack - limits::RecoveryReserve;
   return std::max(span, limits::LeastWatchWait);
 }
 
-milliseconds sentinelWait(milliseconds configurationLimit) {
-  return std::min(freshFor(configurationLimit), limits::WatchWait);
+milliseconds watchWait(milliseconds limit) {
+  return std::min(freshFor(limit), limits::WatchWait);
 }
 
 Mirror::Mirror(MirrorOptions options, ObjectSource &source, const Clock &clock)
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -31,8 +31,8 @@
 inline constexpr milliseconds WatchWait{8'000};
 /// Beyond its wait, until a watch counts as unanswered.
 inline constexpr milliseconds WatchSlack{500};
-/// What is left of the time in which a configuration must be in force once a
-/// call has gone unanswered: for the calls that follow it.
+/// What is left of the time in which a change must have its effect once a call
+/// has gone unanswered: for the calls that follow it.
 inline constexpr milliseconds RecoveryReserve{1'000};
 /// Least wait of a watch.
 inline constexpr milliseconds LeastWatchWait{500};
@@ -118,13 +118,13 @@
 
 using Objects = std::map<std::string, StoredObject>;
 
-/// \param configurationLimit within which a configuration must be in force.
+/// \param limit within which a change must have its effect.
 /// \return the greatest age of a copy at which a call that would confirm it may
 /// still be waited for, so that silence is noticed in time to ask again.
-milliseconds freshFor(milliseconds configurationLimit);
-/// \return how long a watch of the configuration may wait, by which an outage
-/// is noticed for all kinds.
-milliseconds sentinelWait(milliseconds configurationLimit);
+milliseconds freshFor(milliseconds limit);
+/// \param limit within which a change must have its effect.
+/// \return how long a watch of such changes may wait.
+milliseconds watchWait(milliseconds limit);
 
 struct MirrorOptions {
   std::string Kind;
--- a/tests/adapter/settings_test.cpp
+++ b/tests/adapter/settings_test.cpp
@@ -72,6 +72,17 @@
   CHECK_FALSE(parseSettings(text));
 }
 
+// Guards against a watch of the targets that waits longer than a leaving one
+// may get new work.
+TEST_CASE("settings, time for a leaving target, is read or has its default") {
+  CHECK(parseSettings(Whole).value().DrainLimit == milliseconds(7'000));
+  auto text = Whole;
+  text.replace(text.find("  grace_s: 6"), 12, "  grace_s: 6\n  drain_ms: 9000");
+  CHECK(parseSettings(text).value().DrainLimit == milliseconds(9'000));
+  text.replace(text.find("9000"), 4, "soon");
+  CHECK_FALSE(parseSettings(text));
+}
+
 TEST_CASE("settings, no YAML or ports missing, are refused") {
   CHECK_FALSE(parseSettings("{"));
   CHECK_FALSE(parseSettings("[]"));
--- a/tests/proxy/mirror_test.cpp
+++ b/tests/proxy/mirror_test.cpp
@@ -198,16 +198,17 @@
 // Guards against a silent call that is noticed when the bound is over, with no
 // time left to ask again.
 TEST_CASE("watch of the configuration, its silence leaves time to ask again") {
-  for (auto bound : {milliseconds(3'000), milliseconds(5'000),
-                     milliseconds(6'000), milliseconds(60'000)}) {
-    auto noticed = sentinelWait(bound) + peridotfall::proxy::limits::WatchSlack;
+  for (auto bound :
+       {milliseconds(3'000), milliseconds(5'000), milliseconds(7'000),
+        milliseconds(10'000), milliseconds(60'000)}) {
+    auto noticed = watchWait(bound) + peridotfall::proxy::limits::WatchSlack;
     CHECK(noticed + peridotfall::proxy::limits::RecoveryReserve <= bound);
   }
-  CHECK(sentinelWait(milliseconds(3'000)) == milliseconds(1'500));
-  CHECK(sentinelWait(milliseconds(5'000)) == milliseconds(3'500));
-  CHECK(sentinelWait(milliseconds(100)) ==
+  CHECK(watchWait(milliseconds(3'000)) == milliseconds(1'500));
+  CHECK(watchWait(milliseconds(5'000)) == milliseconds(3'500));
+  CHECK(watchWait(milliseconds(100)) ==
         peridotfall::proxy::limits::LeastWatchWait);
-  CHECK(sentinelWait(milliseconds(60'000)) ==
+  CHECK(watchWait(milliseconds(60'000)) ==
         peridotfall::proxy::limits::WatchWait);
 }
 
--- a/tests/proxy/store_outage_test.cpp
+++ b/tests/proxy/store_outage_test.cpp
@@ -109,7 +109,7 @@
         Watch(store, links, Kind, freshFor(limit), clock),
         Copy({.Kind = Kind,
               .Backoff = returnBackoff(1'000),
-              .WatchWait = sentinelWait(limit)},
+              .WatchWait = watchWait(limit)},
              Watch, clock) {
     Host.add(Copy, true);
     Watch.takeMembers(Self.Vm, Here, live);
