--- a/tests/adapter/http_client_test.cpp
+++ b/tests/adapter/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include <asio/write.hpp>
 #include <doctest/doctest.h>
 #include <memory>
+#include <thread>
 #include <vector>
 
 using namespace peridotfall::adapter;
@@ -109,3 +110,36 @@
   runUntilAnswers(5);
   CHECK(Statuses.back() == 200);
 }
+
+// Guards against a limit that is over as its call is answered, and ends the
+// next call on the connection.
+TEST_CASE("answer and limit at one moment, the next call is answered") {
+  constexpr milliseconds Short{300};
+  constexpr milliseconds Long{5'000};
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  asio::io_context loop;
+  asio::io_context serverLoop;
+  tcp::acceptor acceptor(serverLoop,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  HttpClient client(loop, acceptor.local_endpoint());
+  std::vector<int> statuses;
+  HttpCall second{"GET", "/", {}, "", Long};
+  client.call({"GET", "/", {}, "", Short}, [&](const HttpAnswer &first) {
+    statuses.push_back(first.Status);
+    client.call(second,
+                [&](const HttpAnswer &it) { statuses.push_back(it.Status); });
+  });
+  loop.run_one();
+  auto socket = acceptor.accept();
+  while (socket.available() == 0)
+    loop.poll();
+  asio::write(socket, asio::buffer(ok));
+  std::this_thread::sleep_for(2 * Short);
+  while (statuses.empty())
+    loop.run_one();
+  loop.poll();
+  asio::write(socket, asio::buffer(ok));
+  while (statuses.size() < 2)
+    loop.run_one();
+  CHECK(statuses == std::vector<int>{200, 200});
+}
