--- a/src/proxy/session_units.cpp
+++ b/src/proxy/session_units.cpp
@@ -61,7 +61,7 @@
   } else {
     auto route = Table.Routes.find(session.Database);
     if (route == Table.Routes.end()) {
-      rejectRemoved(session, it.Id);
+      rejectRemoved(session, it);
       return;
     }
     unit.Served = route->second;
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -158,7 +158,7 @@
   switch (it.Kind) {
   case StatementKind::Begin:
   case StatementKind::BeginRead:
-    begin(session, it.Kind == StatementKind::BeginRead);
+    begin(session, it);
     return;
   case StatementKind::Rollback:
     rollBack(session);
@@ -186,18 +186,18 @@
   return true;
 }
 
-void Sessions::begin(Session &session, bool readOnly) {
+void Sessions::begin(Session &session, const Statement &it) {
   if (session.State != TransactionState::Idle) {
     answerError(session, ErrorKind::Malformed, "a transaction is open");
     return;
   }
   auto route = Table.Routes.find(session.Database);
   if (route == Table.Routes.end()) {
-    rejectRemoved(session, "");
+    rejectRemoved(session, it);
     return;
   }
   session.Open = {};
-  session.Open.ReadOnly = readOnly;
+  session.Open.ReadOnly = it.Kind == StatementKind::BeginRead;
   session.Open.Served = route->second;
   session.Open.Version = Table.Version;
   session.State = TransactionState::Open;
@@ -279,9 +279,9 @@
                  .count())});
 }
 
-void Sessions::rejectRemoved(Session &session, const std::string &request) {
+void Sessions::rejectRemoved(Session &session, const Statement &it) {
   telemetry::log(Event::RouteRemoved,
-                 {field("request", request),
+                 {field("request", it.Id),
                   field("database", session.Database.Value),
                   field("version", Table.Version),
                   field("confirmed_ms_ago", routesAge().count())});
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -148,7 +148,7 @@
   void handle(Session &session, Statement it);
   void handleLocal(Session &session, const Statement &it);
   bool resolve(Session &session, Statement &it);
-  void begin(Session &session, bool readOnly);
+  void begin(Session &session, const Statement &it);
   void rollBack(Session &session);
   void deallocate(Session &session, const std::string &name);
   void set(Session &session, const Statement &it);
@@ -185,8 +185,7 @@
   void report(Session &session, Group &group, const BatchResult &result);
 
   void deliver(Session &session, Answer answer);
-  /// \param request id of the statement; empty where it is ours to answer.
-  void rejectRemoved(Session &session, const std::string &request);
+  void rejectRemoved(Session &session, const Statement &it);
   void answerDone(Session &session);
   void answerError(Session &session, ErrorKind kind, std::string detail);
   void refuse(Session &session, milliseconds retryAfter, const char *why);
--- a/tests/proxy/mirror_test.cpp
+++ b/tests/proxy/mirror_test.cpp
@@ -199,8 +199,8 @@
 // time left to ask again.
 TEST_CASE("watch of the configuration, its silence leaves time to ask again") {
   for (auto bound :
-       {milliseconds(3'000), milliseconds(5'000), milliseconds(7'000),
-        milliseconds(10'000), milliseconds(60'000)}) {
+       {milliseconds(3'000), milliseconds(5'000), milliseconds(6'000),
+        milliseconds(7'000), milliseconds(10'000), milliseconds(60'000)}) {
     auto noticed = watchWait(bound) + peridotfall::proxy::limits::WatchSlack;
     CHECK(noticed + peridotfall::proxy::limits::RecoveryReserve <= bound);
   }
