Say why a leaving primary was not replaced

What callers saw: nothing that could be explained. A primary that leaves kept its work for more than 3 s, and no line told whether no replica answered, none drew level, no agreed term was known, or the change itself failed. Tests: hand-over, no replica answers; hand-over, replica that lags. Neither can be written against the code before, which has no such action.

--- a/include/peridotfall/failover.h
+++ b/include/peridotfall/failover.h
@@ -155,10 +155,26 @@
 struct TermsExhausted {
   auto operator<=>(const TermsExhausted &) const = default;
 };
+/// Why a leaving primary was not replaced.
+enum class HandoverEnd : std::uint8_t {
+  NoReplica,      ///< None answers in the primary's term and stays.
+  NoTerm,         ///< No agreed term of the replica is known.
+  ReplicaBehind,  ///< It did not draw level while writes were held.
+  CampaignFailed, ///< Refused, without a majority, or overtaken by a write.
+  Interrupted,    ///< This owner was paused, or owns the primary no more.
+};
+std::string toString(HandoverEnd it);
+struct HandoverFailed {
+  TargetName From;
+  TargetName To; ///< Empty: none could be chosen.
+  HandoverEnd Why = HandoverEnd::NoReplica;
+  auto operator<=>(const HandoverFailed &) const = default;
+};
 
-using Action = std::variant<Probe, AskPeer, Fence, Promote, Follow, GetObject,
-                            PutObject, HoldWrites, PrimaryChanged,
-                            CampaignBegun, CampaignFailed, TermsExhausted>;
+using Action =
+    std::variant<Probe, AskPeer, Fence, Promote, Follow, GetObject, PutObject,
+                 HoldWrites, PrimaryChanged, CampaignBegun, CampaignFailed,
+                 TermsExhausted, HandoverFailed>;
 using Actions = std::vector<Action>;
 
 /// One target of the group, as this owner watches it.
@@ -230,6 +246,7 @@
   TimePoint NextAsk;
   std::optional<Campaign> Running;
   std::optional<Handover> Leaving;
+  std::optional<HandoverEnd> HandoverBlocked; ///< Why none can begin, as told.
   Publication Object;
 };
 
--- a/src/daemon/failover_calls.cpp
+++ b/src/daemon/failover_calls.cpp
@@ -263,4 +263,13 @@
                  {field("database", group->Config.Name.Value)});
 }
 
+void FailoverDriver::perform(const GroupPtr &group,
+                             const failover::HandoverFailed &it) {
+  telemetry::log(Event::HandoverFailed,
+                 {field("database", group->Config.Name.Value),
+                  field("primary", it.From.Value),
+                  field("replica", it.To.Value),
+                  field("why", failover::toString(it.Why))});
+}
+
 } // namespace peridotfall
--- a/src/daemon/failover_driver.h
+++ b/src/daemon/failover_driver.h
@@ -76,6 +76,7 @@
   void perform(const GroupPtr &group, const failover::CampaignBegun &it);
   void perform(const GroupPtr &group, const failover::CampaignFailed &it);
   void perform(const GroupPtr &group, const failover::TermsExhausted &it);
+  void perform(const GroupPtr &group, const failover::HandoverFailed &it);
   void took(const GroupPtr &group, const TargetName &target,
             const Result<target::Status> &status);
   /// Closes the connections of targets that missed so many probes and do not
--- a/src/failover/group.cpp
+++ b/src/failover/group.cpp
@@ -26,7 +26,7 @@
   group.AgreedSince.reset();
   if (group.Running)
     failCampaign(group, now, out);
-  endHandover(group, now, out);
+  failHandover(group, HandoverEnd::Interrupted, now, out);
 }
 
 milliseconds withJitter(GroupState &group, milliseconds interval) {
--- a/src/failover/group.h
+++ b/src/failover/group.h
@@ -49,6 +49,9 @@
 
 void stepHandover(GroupState &group, TimePoint now, Actions &out);
 void endHandover(GroupState &group, TimePoint now, Actions &out);
+/// Ends one that did not replace the primary.
+void failHandover(GroupState &group, HandoverEnd why, TimePoint now,
+                  Actions &out);
 
 // The platform's object (publication.cpp).
 
--- a/src/failover/handover.cpp
+++ b/src/failover/handover.cpp
@@ -39,8 +39,40 @@
          replica.Report.Last == primary.Report.Last;
 }
 
+/// Tells once why no hand-over can begin.
+void tellBlocked(GroupState &group, HandoverFailed it, Actions &out) {
+  if (group.HandoverBlocked == it.Why)
+    return;
+  group.HandoverBlocked = it.Why;
+  out.push_back(std::move(it));
+}
+
 } // namespace
 
+std::string toString(HandoverEnd it) {
+  switch (it) {
+  case HandoverEnd::NoReplica:
+    return "no replica";
+  case HandoverEnd::NoTerm:
+    return "no term";
+  case HandoverEnd::ReplicaBehind:
+    return "replica behind";
+  case HandoverEnd::CampaignFailed:
+    return "campaign failed";
+  case HandoverEnd::Interrupted:
+    return "interrupted";
+  }
+  return "";
+}
+
+void failHandover(GroupState &group, HandoverEnd why, TimePoint now,
+                  Actions &out) {
+  if (!group.Leaving)
+    return;
+  out.push_back(HandoverFailed{group.Primary, group.Leaving->To, why});
+  endHandover(group, now, out);
+}
+
 void endHandover(GroupState &group, TimePoint now, Actions &out) {
   if (!group.Leaving)
     return;
@@ -59,21 +91,26 @@
   if (!primary || primary->Owner != group.Self || group.Running)
     return;
   if (group.Leaving && group.Leaving->Tried) {
-    endHandover(group, now, out);
+    failHandover(group, HandoverEnd::CampaignFailed, now, out);
     group.NextHandover = now + RetryOvertaken;
     return;
   }
   if (!group.Leaving) {
-    const auto *replica = pickReplica(group, now);
     if (!primary->Report.Leaving || !hasLeader(group, now) ||
-        now < group.NextHandover || !replica)
+        now < group.NextHandover)
+      return;
+    const auto *replica = pickReplica(group, now);
+    if (!replica) {
+      tellBlocked(group, {group.Primary, {}, HandoverEnd::NoReplica}, out);
       return;
+    }
+    group.HandoverBlocked.reset();
     group.Leaving = Handover{replica->Name, now, false};
     out.push_back(HoldWrites{now + group.Limits.HandoverLimit});
   }
   auto *replica = findWatched(group, group.Leaving->To);
   if (!replica || now - group.Leaving->Began >= group.Limits.HandoverLimit) {
-    endHandover(group, now, out);
+    failHandover(group, HandoverEnd::ReplicaBehind, now, out);
     return;
   }
   if (isLevel(group, *primary, *replica)) {
@@ -81,7 +118,7 @@
     if (beginCampaign(group, replica->Name, now, out))
       group.Running->OldPrimary = primary->Name;
     else
-      endHandover(group, now, out);
+      failHandover(group, HandoverEnd::NoTerm, now, out);
     return;
   }
   for (auto *it : {primary, replica})
--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -22,6 +22,13 @@
     return Sim.runUntil(
         [&] { return Sim.leader() != 0 && Sim.leader() != Domains; }, span);
   }
+  std::size_t failedFor(HandoverEnd why) const {
+    return static_cast<std::size_t>(std::count_if(
+        Sim.History.begin(), Sim.History.end(), [&](const auto &it) {
+          const auto *failed = std::get_if<HandoverFailed>(&it.second);
+          return failed && failed->Why == why;
+        }));
+  }
   template <class T> std::size_t count() const {
     return static_cast<std::size_t>(std::count_if(
         Sim.History.begin(), Sim.History.end(),
@@ -335,6 +342,27 @@
   CHECK(newLeader(LeavingLimit - Unsettled));
 }
 
+// Guards against a leaving primary that stays without a word why.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "hand-over, no replica answers, tells so once") {
+  for (std::size_t n : {1, 2})
+    Sim.Cuts[0][n] = true;
+  Sim.runFor(milliseconds(450));
+  Sim.Targets[0].Report.Leaving = true;
+  Sim.runFor(milliseconds(400));
+  CHECK(failedFor(HandoverEnd::NoReplica) == 1);
+}
+
+// Guards against a leaving primary that stays without a word why.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "hand-over, replica that lags, ends with the reason") {
+  Sim.ShipLag = std::chrono::seconds(2);
+  REQUIRE(Sim.write(0, 5));
+  Sim.Targets[0].Report.Leaving = true;
+  Sim.runFor(std::chrono::seconds(1));
+  CHECK(failedFor(HandoverEnd::ReplicaBehind) > 0);
+}
+
 TEST_CASE("group, an hour with jitter and pauses under the limit, keeps its "
           "primary") {
   // Targets and owners stop for just less than the limit, again and again;
--- a/tests/proof/coordinator.h
+++ b/tests/proof/coordinator.h
@@ -61,6 +61,7 @@
   void perform(const failover::CampaignBegun &it);
   void perform(const failover::CampaignFailed &) {}
   void perform(const failover::TermsExhausted &) {}
+  void perform(const failover::HandoverFailed &) {}
 
   FakeTarget *find(const TargetName &name) const;
   void fenced(Term term);
