Begin no hand-over without a term, and ask for one at once

What callers saw: work at a primary for more than 3 s after it began to leave. Cause: a hand-over was begun though this owner knew no agreed term of the replica. Writes were held, the change could not begin, and the next try came 3 s later: longer than the time in which a leaving primary may get new work. Terms are unknown in a group younger than about 1 s, since the primary's owner ranks last in publishing and reads what others published 1 s late; and in a group of any age where the daemon that owns the primary has just changed and its read of the platform's object has not been answered. Change: a hand-over begins once a replica that has a term is known; until then no write is held. A leaving primary without a term makes its owner read or publish at once, in any rank, beside a silent call after 250 ms, doubled after each failure so that the platform is not drowned.

--- a/src/failover/handover.cpp
+++ b/src/failover/handover.cpp
@@ -2,6 +2,8 @@
 
 #include "failover/group.h"
 
+#include <utility>
+
 namespace peridotfall::failover {
 
 namespace {
@@ -21,12 +23,20 @@
 /// which a leaving target may get no new work.
 constexpr milliseconds RetryOvertaken{700};
 
+bool hasTerm(const GroupState &group, const WatchedTarget &replica) {
+  return successorTerm(group, replica.Name, highestTerm(group)) != 0;
+}
+
+/// \return one that has a term before others, and of these the furthest.
 const WatchedTarget *pickReplica(const GroupState &group, TimePoint now) {
   const WatchedTarget *best = nullptr;
+  auto keyOf = [&](const WatchedTarget &it) {
+    return std::pair(hasTerm(group, it), it.Report.Last);
+  };
   for (const auto &it : group.Targets)
     if (it.Name != group.Primary && answersNow(group, it, now) &&
         !it.Report.Leaving && it.Report.CurrentTerm == group.InTerm &&
-        (!best || it.Report.Last > best->Report.Last))
+        (!best || keyOf(it) > keyOf(*best)))
       best = &it;
   return best;
 }
@@ -39,12 +49,18 @@
          replica.Report.Last == primary.Report.Last;
 }
 
-/// Tells once why no hand-over can begin.
-void tellBlocked(GroupState &group, HandoverFailed it, Actions &out) {
-  if (group.HandoverBlocked == it.Why)
-    return;
-  group.HandoverBlocked = it.Why;
-  out.push_back(std::move(it));
+/// \return whether a hand-over to the replica can begin. Why none can is told
+/// once.
+bool mayBegin(GroupState &group, const WatchedTarget *replica, Actions &out) {
+  std::optional<HandoverEnd> why;
+  if (!replica)
+    why = HandoverEnd::NoReplica;
+  else if (!hasTerm(group, *replica))
+    why = HandoverEnd::NoTerm;
+  if (std::exchange(group.HandoverBlocked, why) != why && why)
+    out.push_back(HandoverFailed{group.Primary,
+                                 replica ? replica->Name : TargetName(), *why});
+  return !why;
 }
 
 } // namespace
@@ -96,15 +112,15 @@
     return;
   }
   if (!group.Leaving) {
-    if (!primary->Report.Leaving || !hasLeader(group, now) ||
-        now < group.NextHandover)
+    if (!primary->Report.Leaving || !hasLeader(group, now)) {
+      group.HandoverBlocked.reset();
+      return;
+    }
+    if (now < group.NextHandover)
       return;
     const auto *replica = pickReplica(group, now);
-    if (!replica) {
-      tellBlocked(group, {group.Primary, {}, HandoverEnd::NoReplica}, out);
+    if (!mayBegin(group, replica, out))
       return;
-    }
-    group.HandoverBlocked.reset();
     group.Leaving = Handover{replica->Name, now, false};
     out.push_back(HoldWrites{now + group.Limits.HandoverLimit});
   }
--- a/src/failover/publication.cpp
+++ b/src/failover/publication.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds CallLimit{3'000};
 /// Ranks above 0 publish only what the ones below have left undone.
 constexpr milliseconds RankWait{500};
+/// Between calls while a leaving primary waits for a term; doubled after each
+/// that fails.
+constexpr milliseconds UrgentRetry{250};
+constexpr unsigned MostUrgentDoublings = 3;
 
 std::size_t termsLeft(const GroupState &group) {
   auto above = highestTerm(group);
@@ -28,11 +32,16 @@
                     [&](const Successor &it) { return it.InTerm > above; }));
 }
 
+/// Whether a primary leaves and no replica has an agreed term.
+bool lacksTerm(const GroupState &group) {
+  return group.HandoverBlocked == HandoverEnd::NoTerm;
+}
+
 bool isStale(const GroupState &group, TimePoint now) {
   if (!hasLeader(group, now))
     return false;
   const auto &known = group.Object.Known;
-  if (!known)
+  if (!known || lacksTerm(group))
     return true;
   if (known->InTerm > group.InTerm)
     return false;
@@ -65,6 +74,13 @@
   return out;
 }
 
+/// Whether the next call waits neither for a silent one nor for a pause.
+bool isUrgent(const GroupState &group, TimePoint now) {
+  const auto &it = group.Object;
+  auto wait = UrgentRetry * (1 << std::min(it.Failures, MostUrgentDoublings));
+  return lacksTerm(group) && now - it.CallBegan >= wait;
+}
+
 void call(Publication &it, TimePoint now) {
   it.Calling = true;
   it.CallBegan = now;
@@ -110,19 +126,19 @@
     it.StaleSince.reset();
   else if (!it.StaleSince)
     it.StaleSince = now;
-  if (it.Calling || now < it.NextCall)
+  if ((it.Calling || now < it.NextCall) && !isUrgent(group, now))
     return;
   bool old = !it.LastRead || now - *it.LastRead >= group.Limits.RefreshEvery;
-  if (it.MustRead || old) {
+  if (it.MustRead || old || it.Calling) {
     read(group, now, out);
     return;
   }
-  auto rank = rankOf(group);
+  auto rank = lacksTerm(group) ? std::size_t{0} : rankOf(group);
   if (!it.StaleSince ||
       now - *it.StaleSince < RankWait * static_cast<int>(rank))
     return;
-  // A lower rank has probably published it; a read is cheaper than a refusal.
-  if (rank > 0 && *it.LastRead < *it.StaleSince) {
+  // Another owner has probably published it; a read is cheaper than a refusal.
+  if (rankOf(group) > 0 && *it.LastRead < *it.StaleSince) {
     read(group, now, out);
     return;
   }
--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -11,6 +11,10 @@
 
 constexpr std::chrono::seconds Calm{5};
 constexpr std::chrono::seconds Long{10};
+/// After which a leaving primary may get no new work.
+constexpr milliseconds LeavingLimit{3'000};
+/// Until daemons that own no target of the group know the new primary.
+constexpr milliseconds Spread{500};
 
 struct FailoverFixture {
   Simulation Sim{7};
@@ -326,7 +330,6 @@
   // each time it is fenced, and leads again. Each try uses up terms that were
   // agreed beforehand, and no new ones come while the platform is away.
   constexpr milliseconds Unsettled{600};
-  constexpr milliseconds LeavingLimit{3'000};
   Sim.ShipLag = milliseconds(20);
   Sim.Platform.Down = true;
   Sim.Targets[0].Report.Leaving = true;
@@ -363,6 +366,43 @@
   CHECK(failedFor(HandoverEnd::ReplicaBehind) > 0);
 }
 
+// Guards against a leaving primary that keeps its work since no term was agreed
+// when it left.
+TEST_CASE("primary, leaving at any age of its group, is replaced within the "
+          "limit") {
+  constexpr milliseconds Step{50};
+  constexpr std::uint64_t Seeds = 4;
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed)
+    for (milliseconds age{50}; age <= milliseconds(2'000); age += Step) {
+      CAPTURE(seed);
+      CAPTURE(age.count());
+      Simulation sim(seed);
+      sim.runFor(age);
+      sim.Targets[0].Report.Leaving = true;
+      CHECK(sim.runUntil([&] { return sim.leader() % Domains != 0; },
+                         LeavingLimit - Spread));
+    }
+}
+
+// Guards against a leaving primary that keeps its work since its new owner has
+// read no term while the platform was silent.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, leaving as its owner changes and the platform is "
+                  "silent, is replaced within the limit") {
+  auto &owner = Sim.Owners[0];
+  std::vector<OwnedTarget> owned;
+  for (const auto &it : owner.Group.Targets)
+    owned.push_back({it.Name, it.Owner});
+  owner.Group =
+      makeGroup(owner.Group.Database, owner.Vm, owned, {}, 1, Sim.now());
+  Sim.Platform.Down = true;
+  Sim.Targets[0].Report.Leaving = true;
+  constexpr milliseconds Silent{1'000};
+  Sim.runFor(Silent);
+  Sim.Platform.Down = false;
+  CHECK(newLeader(LeavingLimit - Silent - Spread));
+}
+
 TEST_CASE("group, an hour with jitter and pauses under the limit, keeps its "
           "primary") {
   // Targets and owners stop for just less than the limit, again and again;
--- a/tests/proof/safeguards_test.cpp
+++ b/tests/proof/safeguards_test.cpp
@@ -92,3 +92,15 @@
   for (std::uint64_t seed : {37, 43, 57, 79, 184})
     CHECK(runLeaving(seed, Before, &World::leave, true).empty());
 }
+
+// Guards against a primary that keeps its work since its group had agreed no
+// term when it left.
+TEST_CASE("safeguards, leaving primary of a group of any age, gets no new work "
+          "after the limit") {
+  for (int before : {250, 500, 800})
+    for (std::uint64_t seed : {1, 2, 4})
+      CHECK(
+          runLeaving(seed, milliseconds(before), &World::leave, true).empty());
+  for (std::uint64_t seed : {31, 46})
+    CHECK(runLeaving(seed, milliseconds(950), &World::leave, true).empty());
+}
