Hand over to whichever replica is level, not to the one chosen first

What callers saw: work at a primary for more than 3 s after it began to leave, in a group of any age, where one replica died, froze, lagged or was cut off as the primary left, though the other one had all of its log. Cause: a hand-over chose its replica as it began, while nothing told yet that this one had failed, and waited for it until the hold ended; the next try came 3 s later. Ruled out: terms (known in each), probes of the other replica (answered each 20 ms to 150 ms all the while). Change: while writes are held, all replicas are probed, and the first that is level and has a term is promoted.

--- a/include/peridotfall/failover.h
+++ b/include/peridotfall/failover.h
@@ -206,11 +206,11 @@
   TargetName OldPrimary;
 };
 
-/// A planned hand-over: writes are held until the replica has drawn level.
+/// A planned hand-over: writes are held until a replica has drawn level.
 struct Handover {
-  TargetName To;
+  TargetName From;
   TimePoint Began;
-  bool Tried = false; ///< The change itself has begun.
+  TargetName To; ///< Whose promotion has begun. Empty: none is level yet.
 };
 
 /// What is known of the platform's object.
--- a/src/failover/group.cpp
+++ b/src/failover/group.cpp
@@ -168,7 +168,7 @@
   keepFollowing(group, now, out);
   stepPublication(group, now, out);
   // The hold ends with the change that it was made for.
-  if (group.Leaving && !group.Running && group.Primary == group.Leaving->To)
+  if (group.Leaving && !group.Running && group.Primary != group.Leaving->From)
     endHandover(group, now, out);
   return out;
 }
--- a/src/failover/handover.cpp
+++ b/src/failover/handover.cpp
@@ -2,6 +2,7 @@
 
 #include "failover/group.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace peridotfall::failover {
@@ -27,6 +28,12 @@
   return successorTerm(group, replica.Name, highestTerm(group)) != 0;
 }
 
+/// Whether the target could lead in the primary's place.
+bool isCandidate(const GroupState &group, const WatchedTarget &it) {
+  return it.Name != group.Primary && !it.Report.Leaving &&
+         it.Report.CurrentTerm == group.InTerm;
+}
+
 /// \return one that has a term before others, and of these the furthest.
 const WatchedTarget *pickReplica(const GroupState &group, TimePoint now) {
   const WatchedTarget *best = nullptr;
@@ -34,19 +41,29 @@
     return std::pair(hasTerm(group, it), it.Report.Last);
   };
   for (const auto &it : group.Targets)
-    if (it.Name != group.Primary && answersNow(group, it, now) &&
-        !it.Report.Leaving && it.Report.CurrentTerm == group.InTerm &&
+    if (isCandidate(group, it) && answersNow(group, it, now) &&
         (!best || keyOf(it) > keyOf(*best)))
       best = &it;
   return best;
 }
 
-bool isLevel(const GroupState &group, const WatchedTarget &primary,
-             const WatchedTarget &replica) {
+/// \return a replica that has all of the primary's log; null: none yet.
+const WatchedTarget *findLevel(const GroupState &group,
+                               const WatchedTarget &primary) {
   auto settled = group.Leaving->Began + Settle;
-  return primary.Answered && *primary.Answered >= settled && replica.Answered &&
-         *replica.Answered >= settled &&
-         replica.Report.Last == primary.Report.Last;
+  auto answered = [&](const WatchedTarget &it) {
+    return it.Answered && *it.Answered >= settled;
+  };
+  for (const auto &it : group.Targets)
+    if (answered(primary) && answered(it) && isCandidate(group, it) &&
+        it.Report.Last == primary.Report.Last && hasTerm(group, it))
+      return &it;
+  return nullptr;
+}
+
+void probeSoon(GroupState &group, TimePoint now) {
+  for (auto &it : group.Targets)
+    it.NextProbe = std::min(it.NextProbe, now + FastProbe);
 }
 
 /// \return whether a hand-over to the replica can begin. Why none can is told
@@ -85,7 +102,7 @@
                   Actions &out) {
   if (!group.Leaving)
     return;
-  out.push_back(HandoverFailed{group.Primary, group.Leaving->To, why});
+  out.push_back(HandoverFailed{group.Leaving->From, group.Leaving->To, why});
   endHandover(group, now, out);
 }
 
@@ -106,7 +123,7 @@
   auto *primary = findWatched(group, group.Primary);
   if (!primary || primary->Owner != group.Self || group.Running)
     return;
-  if (group.Leaving && group.Leaving->Tried) {
+  if (group.Leaving && !group.Leaving->To.empty()) {
     failHandover(group, HandoverEnd::CampaignFailed, now, out);
     group.NextHandover = now + RetryOvertaken;
     return;
@@ -121,25 +138,23 @@
     const auto *replica = pickReplica(group, now);
     if (!mayBegin(group, replica, out))
       return;
-    group.Leaving = Handover{replica->Name, now, false};
+    group.Leaving = Handover{group.Primary, now, {}};
     out.push_back(HoldWrites{now + group.Limits.HandoverLimit});
   }
-  auto *replica = findWatched(group, group.Leaving->To);
-  if (!replica || now - group.Leaving->Began >= group.Limits.HandoverLimit) {
+  if (now - group.Leaving->Began >= group.Limits.HandoverLimit) {
     failHandover(group, HandoverEnd::ReplicaBehind, now, out);
     return;
   }
-  if (isLevel(group, *primary, *replica)) {
-    group.Leaving->Tried = true;
-    if (beginCampaign(group, replica->Name, now, out))
-      group.Running->OldPrimary = primary->Name;
-    else
-      failHandover(group, HandoverEnd::NoTerm, now, out);
+  const auto *replica = findLevel(group, *primary);
+  if (!replica) {
+    probeSoon(group, now);
     return;
   }
-  for (auto *it : {primary, replica})
-    if (it->NextProbe > now + FastProbe)
-      it->NextProbe = now + FastProbe;
+  group.Leaving->To = replica->Name;
+  if (beginCampaign(group, replica->Name, now, out))
+    group.Running->OldPrimary = primary->Name;
+  else
+    failHandover(group, HandoverEnd::NoTerm, now, out);
 }
 
 } // namespace peridotfall::failover
--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -403,6 +403,17 @@
   CHECK(newLeader(LeavingLimit - Silent - Spread));
 }
 
+// Guards against a leaving primary that keeps its work since the replica first
+// chosen fails, though another one is level.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, leaving as a replica dies, is replaced by the "
+                  "other in the first hold") {
+  Sim.Targets[0].Report.Leaving = true;
+  Sim.Targets[1].Alive = false;
+  CHECK(newLeader(std::chrono::seconds(1)));
+  CHECK(leads(2));
+}
+
 TEST_CASE("group, an hour with jitter and pauses under the limit, keeps its "
           "primary") {
   // Targets and owners stop for just less than the limit, again and again;
--- a/tests/proof/safeguards_test.cpp
+++ b/tests/proof/safeguards_test.cpp
@@ -49,6 +49,21 @@
   return checkHistory(world.finish());
 }
 
+/// The same for a settled group's primary, beside a fault that begins as it
+/// leaves and ends after a span.
+std::vector<Violation> runLeavingBeside(std::uint64_t seed, const Fault &fault,
+                                        milliseconds span) {
+  constexpr milliseconds Before{4'000};
+  World world(seed, {});
+  world.runFor(Before);
+  auto end = world.strike(fault);
+  world.leave();
+  world.runFor(span);
+  end();
+  world.runFor(2 * LeavingLimit - span);
+  return checkHistory(world.finish());
+}
+
 } // namespace
 
 // The same random run twice: with one safeguard taken out the caller sees the
@@ -104,3 +119,19 @@
   for (std::uint64_t seed : {31, 46})
     CHECK(runLeaving(seed, milliseconds(950), &World::leave, true).empty());
 }
+
+// Guards against a primary that keeps its work since the replica first chosen
+// to replace it fails.
+TEST_CASE("safeguards, leaving primary beside a fault of a replica, gets no "
+          "new work after the limit") {
+  using enum FaultKind;
+  using enum FaultPlace;
+  constexpr milliseconds Span{600};
+  constexpr std::pair<Fault, std::uint64_t> Runs[] = {
+      {{Kill, Replica}, 1},          {{Freeze, Replica}, 6},
+      {{CutBothWays, Replica}, 17},  {{CutOneWay, Replica}, 7},
+      {{SlowLink, Replica}, 18},     {{LaggingReplica, Replica}, 13},
+      {{CutOneWay, RegionLink}, 13}, {{AnswersLate, RegionLink}, 8}};
+  for (const auto &[fault, seed] : Runs)
+    CHECK(runLeavingBeside(seed, fault, Span).empty());
+}
