Try again to replace a leaving primary within its limit

What callers saw: work at a primary for more than 3 s after it began to leave, where its link was slow, or its answers or those of its owner were late or lost for 0.6 s or more. Cause: a hold of 0.5 s and then a pause of 3.0 s are together longer than the 3.0 s in which a leaving primary may get new work; so any first try that ends without a level replica broke it. Ruled out: that the replicas were behind for so long. The probes of the primary came back too late for this hold, or not at all; the retry found them level within 75 ms. Change: within the limit the next try follows after 0.2 s and holds for up to 1 s, since the first has shown that 0.5 s does not suffice; after the limit it is 0.5 s each 3.5 s as before, so that replicas that lag for long do not hold all writes. The limit is a member of Timings. Tests, which failed before: primary, leaving with both replicas frozen for a moment; safeguards, leaving primary beside a fault of its links.

--- a/include/peridotfall/failover.h
+++ b/include/peridotfall/failover.h
@@ -32,7 +32,8 @@
   milliseconds StepRetry{100};       ///< Between two tries of one step.
   milliseconds CampaignLimit{1'000}; ///< For all steps of one change.
   milliseconds HealAfter{2'000};     ///< That a target is ahead of its primary.
-  milliseconds HandoverLimit{500};   ///< Longest that writes are held.
+  milliseconds HandoverLimit{500};   ///< Longest first hold of writes.
+  milliseconds LeavingLimit{3'000};  ///< For replacing a leaving primary.
   milliseconds PublishRetry{1'000};  ///< Between calls on the platform.
   milliseconds RefreshEvery{60'000}; ///< Reading of the platform's object.
 
@@ -187,6 +188,7 @@
   TimePoint NextProbe;
   TimePoint NextFollow;
   std::optional<TimePoint> AheadSince; ///< Of the primary's term.
+  std::optional<TimePoint> LeavingSince;
 };
 
 struct PeerRecord {
@@ -210,7 +212,8 @@
 struct Handover {
   TargetName From;
   TimePoint Began;
-  TargetName To; ///< Whose promotion has begun. Empty: none is level yet.
+  TimePoint Until; ///< Of the hold.
+  TargetName To;   ///< Whose promotion has begun. Empty: none is level yet.
 };
 
 /// What is known of the platform's object.
--- a/src/failover/detection.cpp
+++ b/src/failover/detection.cpp
@@ -151,6 +151,10 @@
   // An answer that was overtaken by one of a higher term is old.
   if (!it || report.CurrentTerm < it->Report.CurrentTerm)
     return;
+  if (!report.Leaving)
+    it->LeavingSince.reset();
+  else if (!it->LeavingSince)
+    it->LeavingSince = now;
   it->Report = report;
   it->Answered = now;
   it->Missed = 0;
--- a/src/failover/handover.cpp
+++ b/src/failover/handover.cpp
@@ -12,16 +12,12 @@
 /// Writes that the target had taken when the hold began end within this.
 constexpr milliseconds Settle{50};
 constexpr milliseconds FastProbe{20};
-/// Between two attempts, so that a replica that lags for long does not make
-/// every write wait.
-constexpr milliseconds RetryHandover{3'000};
-/// The same where the replica was level and a write reached the old primary
-/// before the fence did. Load: a target that changes its owner as it leaves;
-/// daemons that do not know the new one yet send writes by others, which the
-/// hold does not reach. Harm of no pause: four tries in 0.4 s use up the terms
-/// agreed beforehand, and the target works on for 3 s more. Reason: daemons
-/// hear of a new owner within 0.4 s, and four tries fit into the 3 s after
-/// which a leaving target may get no new work.
+/// Between two tries within the limit of a leaving primary, and after it: a
+/// group whose replicas all lag for long must not hold its writes for ever.
+constexpr milliseconds RetryPause{200};
+constexpr milliseconds RetryPauseLate{3'000};
+/// After a try that a write of another owner has overtaken. Each uses up a
+/// term, and other daemons learn meanwhile who owns the primary now.
 constexpr milliseconds RetryOvertaken{700};
 
 bool hasTerm(const GroupState &group, const WatchedTarget &replica) {
@@ -34,6 +30,21 @@
          it.Report.CurrentTerm == group.InTerm;
 }
 
+bool isWithinLimit(const GroupState &group, const WatchedTarget &primary,
+                   TimePoint now) {
+  return primary.LeavingSince &&
+         now - *primary.LeavingSince < group.Limits.LeavingLimit;
+}
+
+/// \return longest hold of a try. A second one within the limit is longer: the
+/// first was too short for the links and replicas as they are.
+milliseconds holdLimit(const GroupState &group, const WatchedTarget &primary,
+                       TimePoint now) {
+  bool first = now - *primary.LeavingSince < group.Limits.HandoverLimit;
+  bool longer = !first && isWithinLimit(group, primary, now);
+  return longer ? 2 * group.Limits.HandoverLimit : group.Limits.HandoverLimit;
+}
+
 /// \return one that has a term before others, and of these the furthest.
 const WatchedTarget *pickReplica(const GroupState &group, TimePoint now) {
   const WatchedTarget *best = nullptr;
@@ -103,14 +114,19 @@
   if (!group.Leaving)
     return;
   out.push_back(HandoverFailed{group.Leaving->From, group.Leaving->To, why});
+  const auto *primary = findWatched(group, group.Leaving->From);
+  bool soon = primary && isWithinLimit(group, *primary, now);
   endHandover(group, now, out);
+  group.NextHandover =
+      now + (why == HandoverEnd::CampaignFailed ? RetryOvertaken
+             : soon                             ? RetryPause
+                                                : RetryPauseLate);
 }
 
 void endHandover(GroupState &group, TimePoint now, Actions &out) {
   if (!group.Leaving)
     return;
   group.Leaving.reset();
-  group.NextHandover = now + RetryHandover;
   out.push_back(HoldWrites{now});
 }
 
@@ -125,7 +141,6 @@
     return;
   if (group.Leaving && !group.Leaving->To.empty()) {
     failHandover(group, HandoverEnd::CampaignFailed, now, out);
-    group.NextHandover = now + RetryOvertaken;
     return;
   }
   if (!group.Leaving) {
@@ -138,10 +153,11 @@
     const auto *replica = pickReplica(group, now);
     if (!mayBegin(group, replica, out))
       return;
-    group.Leaving = Handover{group.Primary, now, {}};
-    out.push_back(HoldWrites{now + group.Limits.HandoverLimit});
+    auto until = now + holdLimit(group, *primary, now);
+    group.Leaving = Handover{group.Primary, now, until, {}};
+    out.push_back(HoldWrites{until});
   }
-  if (now - group.Leaving->Began >= group.Limits.HandoverLimit) {
+  if (now >= group.Leaving->Until) {
     failHandover(group, HandoverEnd::ReplicaBehind, now, out);
     return;
   }
--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -414,6 +414,32 @@
   CHECK(leads(2));
 }
 
+// Guards against a leaving primary that keeps its work for seconds after a hold
+// that was too short.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, leaving with both replicas frozen for a moment, is "
+                  "replaced within the limit") {
+  constexpr milliseconds Frozen{800};
+  for (std::size_t n : {1, 2})
+    Sim.Targets[n].FrozenUntil = Sim.now() + Frozen;
+  Sim.Targets[0].Report.Leaving = true;
+  CHECK(newLeader(LeavingLimit - Spread));
+}
+
+// Guards against writes that are held nearly always while no replica can draw
+// level for longer than the limit.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, leaving with both replicas frozen for long, holds "
+                  "few writes after the limit") {
+  for (std::size_t n : {1, 2})
+    Sim.Targets[n].FrozenUntil = Sim.now() + std::chrono::minutes(1);
+  Sim.Targets[0].Report.Leaving = true;
+  Sim.runFor(LeavingLimit + std::chrono::seconds(1));
+  auto before = count<HoldWrites>();
+  Sim.runFor(std::chrono::seconds(30));
+  CHECK(count<HoldWrites>() - before <= 20);
+}
+
 TEST_CASE("group, an hour with jitter and pauses under the limit, keeps its "
           "primary") {
   // Targets and owners stop for just less than the limit, again and again;
--- a/tests/proof/safeguards_test.cpp
+++ b/tests/proof/safeguards_test.cpp
@@ -135,3 +135,23 @@
   for (const auto &[fault, seed] : Runs)
     CHECK(runLeavingBeside(seed, fault, Span).empty());
 }
+
+// Guards against a primary that keeps its work since the first hold of writes
+// ended before any replica was level.
+TEST_CASE("safeguards, leaving primary beside a fault of its links, gets no "
+          "new work after the limit") {
+  using enum FaultKind;
+  using enum FaultPlace;
+  struct Run {
+    Fault Beside;
+    milliseconds Span;
+    std::uint64_t Seed;
+  };
+  constexpr Run Runs[] = {{{SlowLink, Primary}, milliseconds(1'000), 2},
+                          {{SlowLink, Primary}, milliseconds(600), 1},
+                          {{AnswersLost, Primary}, milliseconds(600), 5},
+                          {{AnswersLost, Primary}, milliseconds(1'000), 10},
+                          {{AnswersLate, Owner}, milliseconds(600), 3}};
+  for (const auto &it : Runs)
+    CHECK(runLeavingBeside(it.Seed, it.Beside, it.Span).empty());
+}
