Let the owners of a group tell each other its agreed terms

What callers saw: work at a primary for more than 3 s after it began to leave, where the daemon that owns it changed at that moment and the platform was cut off, down or slow for a second or more. Cause: the new owner had to read the agreed terms at the platform, though the owners of the group's other targets knew them. Ruled out: a shorter pause between reads alone. With the platform away for longer than the limit no pause helps. Change: an owner asks the others with the version of the object that it knows; one that knows a newer version adds it to its view. Calm exchanges carry no more than a number. A copy is as good as a read of one's own: its terms stand in the object, and no later one gives them to another replica. While a leaving primary lacks a term, the others are asked each 50 ms. Tests: safeguards, leaving primary beside a fault of the platform (failed before); primary, leaving as its owner changes and the platform is down (failed before); the one with a silent platform now renews all owners, so that it still fails where a silent read is waited for; group view with an object, and with a damaged one.

--- a/include/peridotfall/failover.h
+++ b/include/peridotfall/failover.h
@@ -89,6 +89,14 @@
   auto operator<=>(const GroupObject &) const = default;
 };
 
+/// The group's object as it was read in one version.
+struct VersionedObject {
+  std::uint64_t Version = 0;
+  GroupObject Value;
+
+  auto operator<=>(const VersionedObject &) const = default;
+};
+
 std::string writeGroupObject(const GroupObject &it);
 Parsed<GroupObject> parseGroupObject(const std::string &json);
 
@@ -105,8 +113,11 @@
   TargetName Target;
   auto operator<=>(const Probe &) const = default;
 };
-struct AskPeer { ///< onPeerView, where it answers.
+/// onPeerView, where it answers, and onPeerObject, where it knows a newer
+/// version of the group's object.
+struct AskPeer {
   VmName Vm;
+  std::uint64_t Version = 0; ///< Of the object, as it is known here.
   auto operator<=>(const AskPeer &) const = default;
 };
 struct Fence { ///< onFenced.
@@ -278,6 +289,9 @@
                       TimePoint now);
 Actions onPeerView(GroupState &group, const VmName &peer, Sights seen,
                    TimePoint now);
+/// Another owner has read the group's object at the platform.
+Actions onPeerObject(GroupState &group, const VersionedObject &object,
+                     TimePoint now);
 /// \param report the target's, where the outcome is Done.
 Actions onFenced(GroupState &group, const TargetName &target, Term term,
                  StepOutcome outcome, const TargetReport &report,
@@ -296,6 +310,9 @@
 
 /// This owner's answer to the others.
 Sights sightsOf(const GroupState &group, TimePoint now);
+/// \return the group's object, where it is newer than \p version.
+std::optional<VersionedObject> newerObject(const GroupState &group,
+                                           std::uint64_t version);
 /// The primary among the targets seen: it answers, and no majority of the
 /// targets has accepted a higher term. Empty: none.
 TargetName leaderOf(const Sights &seen);
--- a/src/daemon/failover_calls.cpp
+++ b/src/daemon/failover_calls.cpp
@@ -90,8 +90,8 @@
   http::Request request;
   request.Method = "POST";
   request.Path = messages::GroupViewPath;
-  request.Body =
-      messages::encode(messages::GroupViewRequest{group->Config.Name});
+  request.Body = messages::encode(
+      messages::GroupViewRequest{group->Config.Name, it.Version});
   auto done = [self = shared_from_this(), group,
                it](const http::CallResult &result) {
     if (!result)
@@ -101,9 +101,14 @@
     // not count as one that misses the primary.
     if (!answer || answer.value().Seen.empty() || answer.value().Vm != it.Vm)
       return;
+    auto now = self->Time.now();
+    if (const auto &object = answer.value().Object)
+      self->run(group, [&](failover::GroupState &state) {
+        return failover::onPeerObject(state, *object, now);
+      });
     self->run(group, [&](failover::GroupState &state) {
       return failover::onPeerView(state, it.Vm, std::move(answer.value().Seen),
-                                  self->Time.now());
+                                  now);
     });
   };
   Peers.channel(peer->InnerAddress)
--- a/src/daemon/failover_driver.cpp
+++ b/src/daemon/failover_driver.cpp
@@ -134,9 +134,10 @@
   if (!group)
     return std::nullopt;
   std::lock_guard guard(group->Lock);
-  return messages::encode(
-      messages::GroupViewAnswer{request.value().Database, Peers.self().Vm,
-                                failover::sightsOf(group->State, Time.now())});
+  return messages::encode(messages::GroupViewAnswer{
+      request.value().Database, Peers.self().Vm,
+      failover::sightsOf(group->State, Time.now()),
+      failover::newerObject(group->State, request.value().ObjectVersion)});
 }
 
 } // namespace peridotfall
--- a/src/failover/group.cpp
+++ b/src/failover/group.cpp
@@ -48,7 +48,8 @@
 }
 
 void askPeers(GroupState &group, TimePoint now, Actions &out) {
-  bool urgent = now - group.LeaderSeen > group.Limits.SuspectAfter / 2;
+  bool urgent = lacksTerm(group) ||
+                now - group.LeaderSeen > group.Limits.SuspectAfter / 2;
   if (now < group.NextAsk && (!urgent || group.NextAsk <= now + UrgentAsk))
     return;
   group.NextAsk = now + (urgent ? UrgentAsk : withJitter(group, CalmAsk));
@@ -56,7 +57,7 @@
   for (const auto &it : group.Targets)
     if (std::find(asked.begin(), asked.end(), it.Owner) == asked.end()) {
       asked.push_back(it.Owner);
-      out.push_back(AskPeer{it.Owner});
+      out.push_back(AskPeer{it.Owner, group.Object.Version});
     }
 }
 
--- a/src/failover/group.h
+++ b/src/failover/group.h
@@ -55,6 +55,8 @@
 
 // The platform's object (publication.cpp).
 
+/// Whether a primary leaves and no replica has an agreed term.
+bool lacksTerm(const GroupState &group);
 /// \return the nominee's lowest term above \p above, or 0.
 Term successorTerm(const GroupState &group, const TargetName &nominee,
                    Term above);
--- a/src/failover/publication.cpp
+++ b/src/failover/publication.cpp
@@ -32,11 +32,6 @@
                     [&](const Successor &it) { return it.InTerm > above; }));
 }
 
-/// Whether a primary leaves and no replica has an agreed term.
-bool lacksTerm(const GroupState &group) {
-  return group.HandoverBlocked == HandoverEnd::NoTerm;
-}
-
 bool isStale(const GroupState &group, TimePoint now) {
   if (!hasLeader(group, now))
     return false;
@@ -109,6 +104,10 @@
 
 } // namespace
 
+bool lacksTerm(const GroupState &group) {
+  return group.HandoverBlocked == HandoverEnd::NoTerm;
+}
+
 Term successorTerm(const GroupState &group, const TargetName &nominee,
                    Term above) {
   if (group.Object.Known)
@@ -164,6 +163,24 @@
   return onTick(group, now);
 }
 
+Actions onPeerObject(GroupState &group, const VersionedObject &object,
+                     TimePoint /*now*/) {
+  auto &it = group.Object;
+  if (object.Version > it.Version) {
+    it.Known = object.Value;
+    it.Version = object.Version;
+  }
+  return {};
+}
+
+std::optional<VersionedObject> newerObject(const GroupState &group,
+                                           std::uint64_t version) {
+  const auto &it = group.Object;
+  if (!it.Known || it.Version <= version)
+    return std::nullopt;
+  return VersionedObject{it.Version, *it.Known};
+}
+
 Actions onObjectUnavailable(GroupState &group, TimePoint now) {
   backOff(group, now);
   return {};
--- a/src/messages/group_view.cpp
+++ b/src/messages/group_view.cpp
@@ -22,6 +22,7 @@
 std::string encode(const GroupViewRequest &it) {
   inner::GroupViewRequest out;
   out.set_database(it.Database.Value);
+  out.set_object_version(it.ObjectVersion);
   return out.SerializeAsString();
 }
 
@@ -41,6 +42,10 @@
     target->set_age_us(
         static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0)));
   }
+  if (it.Object) {
+    out.set_object(failover::writeGroupObject(it.Object->Value));
+    out.set_object_version(it.Object->Version);
+  }
   return out.SerializeAsString();
 }
 
@@ -48,7 +53,7 @@
   inner::GroupViewRequest in;
   if (!in.ParseFromString(bytes))
     return malformed();
-  return GroupViewRequest{DatabaseName(in.database())};
+  return GroupViewRequest{DatabaseName(in.database()), in.object_version()};
 }
 
 Result<GroupViewAnswer> decodeGroupViewAnswer(const std::string &bytes) {
@@ -66,6 +71,12 @@
     sight.Report.Last = {target.last().term(), target.last().index()};
     sight.Age = microseconds(std::min(target.age_us(), OldestAge));
   }
+  if (!in.object().empty()) {
+    auto object = failover::parseGroupObject(in.object());
+    if (!object)
+      return malformed();
+    it.Object = {in.object_version(), std::move(object.value())};
+  }
   return it;
 }
 
--- a/src/messages/group_view.h
+++ b/src/messages/group_view.h
@@ -11,6 +11,7 @@
 
 struct GroupViewRequest {
   DatabaseName Database;
+  std::uint64_t ObjectVersion = 0; ///< Of the object that the asker knows.
 
   auto operator<=>(const GroupViewRequest &) const = default;
 };
@@ -19,6 +20,7 @@
   DatabaseName Database;
   VmName Vm; ///< Whose view it is.
   failover::Sights Seen;
+  std::optional<failover::VersionedObject> Object; ///< A newer one.
 
   auto operator<=>(const GroupViewAnswer &) const = default;
 };
--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -26,6 +26,15 @@
     return Sim.runUntil(
         [&] { return Sim.leader() != 0 && Sim.leader() != Domains; }, span);
   }
+  /// An owner begins anew, with nothing known.
+  void renewOwner(std::size_t n) {
+    auto &owner = Sim.Owners[n];
+    std::vector<OwnedTarget> owned;
+    for (const auto &it : owner.Group.Targets)
+      owned.push_back({it.Name, it.Owner});
+    owner.Group =
+        makeGroup(owner.Group.Database, owner.Vm, owned, {}, 1, Sim.now());
+  }
   std::size_t failedFor(HandoverEnd why) const {
     return static_cast<std::size_t>(std::count_if(
         Sim.History.begin(), Sim.History.end(), [&](const auto &it) {
@@ -387,14 +396,10 @@
 // Guards against a leaving primary that keeps its work since its new owner has
 // read no term while the platform was silent.
 TEST_CASE_FIXTURE(FailoverFixture,
-                  "primary, leaving as its owner changes and the platform is "
+                  "primary, leaving as its owners change and the platform is "
                   "silent, is replaced within the limit") {
-  auto &owner = Sim.Owners[0];
-  std::vector<OwnedTarget> owned;
-  for (const auto &it : owner.Group.Targets)
-    owned.push_back({it.Name, it.Owner});
-  owner.Group =
-      makeGroup(owner.Group.Database, owner.Vm, owned, {}, 1, Sim.now());
+  for (std::size_t n = 0; n < Domains; ++n)
+    renewOwner(n);
   Sim.Platform.Down = true;
   Sim.Targets[0].Report.Leaving = true;
   constexpr milliseconds Silent{1'000};
@@ -403,6 +408,17 @@
   CHECK(newLeader(LeavingLimit - Silent - Spread));
 }
 
+// Guards against a leaving primary that keeps its work since its new owner can
+// read no term while the platform is down.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, leaving as its owner changes and the platform is "
+                  "down, is replaced by terms that another owner knows") {
+  Sim.Platform.Down = true;
+  renewOwner(0);
+  Sim.Targets[0].Report.Leaving = true;
+  CHECK(newLeader(std::chrono::seconds(1)));
+}
+
 // Guards against a leaving primary that keeps its work since the replica first
 // chosen fails, though another one is level.
 TEST_CASE_FIXTURE(FailoverFixture,
--- a/tests/failover/group_view_test.cpp
+++ b/tests/failover/group_view_test.cpp
@@ -3,10 +3,11 @@
 #include <doctest/doctest.h>
 
 using namespace peridotfall;
+using namespace peridotfall::failover;
 using namespace peridotfall::messages;
 
 TEST_CASE("group view, encoded and decoded, is the same") {
-  GroupViewAnswer it{DatabaseName("orders"), VmName("vm-1"), {}};
+  GroupViewAnswer it{DatabaseName("orders"), VmName("vm-1"), {}, {}};
   auto &sight = it.Seen[TargetName("t1")];
   sight.Reachable = true;
   sight.Report = {7, true, {6, 42}, {}, false};
@@ -14,9 +15,23 @@
   auto back = decodeGroupViewAnswer(encode(it));
   REQUIRE(back);
   CHECK(back.value() == it);
-  auto request = decodeGroupViewRequest(encode(GroupViewRequest{it.Database}));
+  it.Object = {9, {"id-1", 7, TargetName("t1"), {{8, TargetName("t2")}}}};
+  back = decodeGroupViewAnswer(encode(it));
+  REQUIRE(back);
+  CHECK(back.value() == it);
+  auto request =
+      decodeGroupViewRequest(encode(GroupViewRequest{it.Database, 8}));
   REQUIRE(request);
   CHECK(request.value().Database == it.Database);
+  CHECK(request.value().ObjectVersion == 8);
+}
+
+// Guards against terms that are read from an object that is damaged.
+TEST_CASE("group view, object whose terms fall, is refused") {
+  GroupObject object{"id-1", 7, TargetName("t1"), {{8, TargetName("t2")}}};
+  object.Successors.push_back({8, TargetName("t3")});
+  GroupViewAnswer it{DatabaseName("orders"), VmName("vm-1"), {}, {{9, object}}};
+  CHECK_FALSE(decodeGroupViewAnswer(encode(it)));
 }
 
 TEST_CASE("group view, bytes of another protocol, is refused") {
--- a/tests/failover/simulation.h
+++ b/tests/failover/simulation.h
@@ -255,9 +255,12 @@
     after(delay(n, peer), [=, this] {
       deliver(peer, [=, this](GroupState &group) {
         auto seen = sightsOf(group, Now);
+        auto object = newerObject(group, it.Version);
         if (!cut(n, peer))
           after(delay(n, peer), [=, this] {
             deliver(n, [=, this](GroupState &asking) {
+              if (object)
+                onPeerObject(asking, *object, Now);
               return onPeerView(asking, it.Vm, seen, Now);
             });
           });
--- a/tests/proof/coordinator.cpp
+++ b/tests/proof/coordinator.cpp
@@ -15,6 +15,11 @@
 constexpr auto GroupKey = "peridotfall/groups/orders";
 const DatabaseName Database{"orders"};
 
+struct PeerAnswer {
+  failover::Sights Seen;
+  std::optional<failover::VersionedObject> Object;
+};
+
 /// \return the step's end, where its answer may have been lost.
 StepAnswer answerOf(const Result<StepAnswer> &it) {
   return it ? it.value() : StepAnswer{StepOutcome::Unknown, {}};
@@ -78,18 +83,22 @@
   auto *peer = Out.Peer(it.Vm);
   if (!peer)
     return;
-  At.Net.call<std::optional<failover::Sights>>(
+  At.Net.call<std::optional<PeerAnswer>>(
       Self, peer->node(), ProbeLimit,
-      [peer](auto reply) {
-        std::optional<failover::Sights> sights;
+      [peer, version = it.Version](auto reply) {
+        std::optional<PeerAnswer> answer;
         if (peer->Group)
-          sights = failover::sightsOf(*peer->Group, peer->At.Sim.now());
-        reply(sights);
+          answer = {failover::sightsOf(*peer->Group, peer->At.Sim.now()),
+                    failover::newerObject(*peer->Group, version)};
+        reply(answer);
       },
-      [this, vm = it.Vm](const Result<std::optional<failover::Sights>> &seen) {
-        if (Group && seen && seen.value())
-          perform(
-              failover::onPeerView(*Group, vm, *seen.value(), At.Sim.now()));
+      [this, vm = it.Vm](const Result<std::optional<PeerAnswer>> &answer) {
+        if (!Group || !answer || !answer.value())
+          return;
+        auto [seen, object] = *answer.value();
+        if (object)
+          perform(failover::onPeerObject(*Group, *object, At.Sim.now()));
+        perform(failover::onPeerView(*Group, vm, seen, At.Sim.now()));
       });
 }
 
--- a/tests/proof/safeguards_test.cpp
+++ b/tests/proof/safeguards_test.cpp
@@ -155,3 +155,19 @@
   for (const auto &it : Runs)
     CHECK(runLeavingBeside(it.Seed, it.Beside, it.Span).empty());
 }
+
+// Guards against a primary that keeps its work since its new owner cannot reach
+// the platform.
+TEST_CASE("safeguards, leaving primary beside a fault of the platform, gets no "
+          "new work after the limit") {
+  using enum FaultKind;
+  using enum FaultPlace;
+  constexpr milliseconds Span{1'000};
+  constexpr std::pair<Fault, std::uint64_t> Runs[] = {
+      {{CutOneWay, Platform}, 4},
+      {{CutOneWay, Platform}, 19},
+      {{CutBothWays, Platform}, 6},
+      {{PlatformDown, Platform}, 12}};
+  for (const auto &[fault, seed] : Runs)
+    CHECK(runLeavingBeside(seed, fault, Span).empty());
+}
