Send no new work to a leaving primary after its limit on the platform

What callers see: nothing; a target that leaves gets writes, and reads that only a primary may answer, for as long as no successor is promoted. Cause: after the hold of 2.5 s a leaving primary was written to again, with no end. A planned change whose first choice fails (a promotion that is accepted and not carried out waits 2 s, the next choice up to 2.5 s for a level replica) comes later than the 7 s of the platform's settings. Evidence: a test only. So this is suspected on the platform, not seen. Ruled out: a shorter wait of the second choice. It would promote a replica that lacks acknowledged records; no new work at the old primary costs refusals that say when to come back, and nothing else. Change: the limit of the settings, less 1 s for the notice and for work on its way, ends the time in which a leaving primary is written to. Held work is refused as where no primary is known, so that a replica can draw level. Left: the time counts from the notice here. A daemon whose connection to the store fell silent, or that starts anew, may count late.

--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -302,15 +302,19 @@
   auto it = Targets.find(*leader);
   if (it == Targets.end())
     return std::nullopt;
-  // A primary that leaves is replaced at once; a write that it takes now may
-  // be missing in its successor.
-  bool held = it->second.Leaving && group.LeavingSince &&
-              Time.now() - *group.LeavingSince < limits::HandoverHold;
-  if (held)
+  if (it->second.Leaving && group.LeavingSince &&
+      !mayWorkLeaving(Time.now() - *group.LeavingSince))
     return std::nullopt;
   return leader;
 }
 
+/// At first a write may be missing in the primary's successor. Where none can
+/// be found the primary serves on, until the limit of a leaving target.
+bool Groups::mayWorkLeaving(Duration leaving) const {
+  return leaving >= limits::HandoverHold &&
+         leaving < LeavingLimit - limits::LeavingReserve;
+}
+
 Distance Groups::distanceTo(const TargetEntry &target) const {
   if (target.Domain == Self.Domain)
     return Distance::SameDomain;
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -37,6 +37,10 @@
 /// After a planned hand-over began, writes are held until a new primary is
 /// known, for this long at most. A promotion takes 0.3 to 1 s.
 inline constexpr milliseconds HandoverHold{2'500};
+/// Time in which a leaving target may get new work, where no setting names it;
+/// and the part of it that its notice and the last work may travel.
+inline constexpr milliseconds LeavingLimit{7'000};
+inline constexpr milliseconds LeavingReserve{1'000};
 
 } // namespace limits
 
@@ -87,6 +91,8 @@
   /// Takes the platform's list, whole.
   void takeTargets(const TargetList &targets);
   void takeSettings(const std::map<GroupName, GroupSettings> &settings);
+  /// \param limit time in which a leaving target may get new work.
+  void setLeavingLimit(milliseconds limit) { LeavingLimit = limit; }
   /// \param live daemons, that share the targets' connections.
   void setMembers(const std::vector<Member> &live);
 
@@ -142,6 +148,8 @@
                   OnBatch done);
   /// Ends a batch at the next tick: there is no connection for it.
   void endLater(OnBatch done);
+  /// \param leaving time since the primary's notice.
+  bool mayWorkLeaving(Duration leaving) const;
   void askLead(const TargetName &target);
   /// Asks the replicas that are known to be behind what they have applied.
   void askApplied(Group &group, TimePoint now);
@@ -156,6 +164,7 @@
   TargetPort &Port;
   RelayPort &Relay;
   const Clock &Time;
+  milliseconds LeavingLimit = limits::LeavingLimit;
   std::vector<Member> Live;
   std::uint64_t LastLease = 0;
   std::vector<OnBatch> Ending;
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -314,6 +314,29 @@
     CHECK(it.Target.Value != "r");
 }
 
+// Guards against new work at a leaving primary that nobody can replace.
+TEST_CASE_FIXTURE(
+    ProxyFixture,
+    "primary leaving, gets writes until its limit and none after") {
+  learnHead();
+  All.setLeavingLimit(milliseconds(7'000));
+  Entries.at(TargetName("p")).Leaving = true;
+  All.takeTargets(Entries);
+  pass(milliseconds(5'500));
+  auto caller = session("orders");
+  send(caller, StatementKind::Write, "WRITE a x");
+  serve("p", TransactionState::Idle);
+  CHECK(last(caller).ok());
+  pass(milliseconds(600));
+  for (unsigned n = 0; n < 20; ++n) {
+    auto late = session(n % 2 == 0 ? "orders" : "views");
+    send(late, StatementKind::Write, "WRITE b x");
+    pass(milliseconds(100));
+    greetAll();
+    CHECK_FALSE(busyAt("p"));
+  }
+}
+
 // Load: a new primary takes all reads while the replicas lag, and refuses some
 // as busy. Given up on after a few quick tries, a statement is lost with most
 // of its time unused.
