End a hand-over when the leaving primary gets another owner

What callers would see: nothing at once; an owner that lost the primary during a hand-over, and owns another target of the group, never replaces a primary again. And a change that succeeded was reported as one that failed where the same daemon owns the new primary. Cause: a hand-over ended only in steps that the primary's owner takes, or when the replica it had chosen led; while one is open no other change begins. Evidence: read in the code as the other faults were traced; seen in the test. Change: it ends with "interrupted" when the primary has another owner, and without a word when another target leads. Test, which failed before: hand-over, primary's owner changes.

--- a/src/failover/group.cpp
+++ b/src/failover/group.cpp
@@ -168,9 +168,6 @@
   considerCampaign(group, now, out);
   keepFollowing(group, now, out);
   stepPublication(group, now, out);
-  // The hold ends with the change that it was made for.
-  if (group.Leaving && !group.Running && group.Primary != group.Leaving->From)
-    endHandover(group, now, out);
   return out;
 }
 
--- a/src/failover/handover.cpp
+++ b/src/failover/handover.cpp
@@ -136,9 +136,16 @@
 /// among the fenced: had it gone on, it would be the highest and be promoted
 /// again itself.
 void stepHandover(GroupState &group, TimePoint now, Actions &out) {
-  auto *primary = findWatched(group, group.Primary);
-  if (!primary || primary->Owner != group.Self || group.Running)
+  if (group.Running)
     return;
+  // The hold ends with the change that it was made for.
+  if (group.Leaving && group.Primary != group.Leaving->From)
+    endHandover(group, now, out);
+  const auto *primary = findWatched(group, group.Primary);
+  if (!primary || primary->Owner != group.Self) {
+    failHandover(group, HandoverEnd::Interrupted, now, out);
+    return;
+  }
   if (group.Leaving && !group.Leaving->To.empty()) {
     failHandover(group, HandoverEnd::CampaignFailed, now, out);
     return;
--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -442,6 +442,26 @@
   CHECK(newLeader(LeavingLimit - Spread));
 }
 
+// Guards against an owner that holds writes and replaces no primary any more,
+// since the leaving one got another owner during a hand-over.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "hand-over, primary's owner changes, ends with the hold") {
+  Sim.ShipLag = std::chrono::seconds(2);
+  REQUIRE(Sim.write(0, 5));
+  Sim.Targets[0].Report.Leaving = true;
+  REQUIRE(runUntilAction(isA<HoldWrites>));
+  auto &group = Sim.Owners[0].Group;
+  REQUIRE(group.Leaving);
+  setTargets(group,
+             {{Sim.Targets[0].Name, Sim.Owners[1].Vm},
+              {Sim.Targets[1].Name, Sim.Owners[1].Vm},
+              {Sim.Targets[2].Name, Sim.Owners[0].Vm}},
+             Sim.now());
+  Sim.runFor(std::chrono::seconds(1));
+  CHECK_FALSE(group.Leaving);
+  CHECK(failedFor(HandoverEnd::Interrupted) == 1);
+}
+
 // Guards against writes that are held nearly always while no replica can draw
 // level for longer than the limit.
 TEST_CASE_FIXTURE(FailoverFixture,
