Choose anew the seeds that show a safeguard taken out

Not a fault of the product. The owners' exchange of agreed terms changes which reads of the platform are made, and with them the course of a random run from the first second: with a safeguard taken out, four seeds of the table and one of the matrix no longer reach the moment that needs it. With all safeguards kept they hold, before and after. Change: these seeds show the safeguards; the old ones stay among those that must hold with all of them kept, and the new ones join them. No check is eased.

--- a/tests/proof/matrix_test.cpp
+++ b/tests/proof/matrix_test.cpp
@@ -48,8 +48,10 @@
   Cell cell{{{FaultKind::Freeze, FaultPlace::Owner}}, Step::Nominated};
   Safeguards without;
   without.ReadsConfirmed = false;
-  constexpr std::uint64_t Shows = 6;
+  constexpr std::uint64_t Shows = 61;
+  constexpr std::uint64_t Showed = 6;
   CHECK_FALSE(runCell(cell, Shows, without).Violations.empty());
   CHECK(runCell(cell, Shows).Violations.empty());
+  CHECK(runCell(cell, Showed).Violations.empty());
   CHECK(runCell(cell, Seed).Violations.empty());
 }
--- a/tests/proof/safeguards_test.cpp
+++ b/tests/proof/safeguards_test.cpp
@@ -19,16 +19,16 @@
 };
 
 constexpr Without Table[] = {
-    {"confirmation", &Safeguards::Confirmation, Broken::Lost, 39},
+    {"confirmation", &Safeguards::Confirmation, Broken::Lost, 10},
     {"idempotency check", &Safeguards::IdempotencyCheck, Broken::Doubled, 1},
     {"no blind repeat", &Safeguards::NoBlindRepeat, Broken::Doubled, 10},
-    {"not before", &Safeguards::NotBefore, Broken::OwnWriteUnseen, 2},
-    {"primary only", &Safeguards::PrimaryOnly, Broken::OwnWriteUnseen, 33},
+    {"not before", &Safeguards::NotBefore, Broken::OwnWriteUnseen, 5},
+    {"primary only", &Safeguards::PrimaryOnly, Broken::OwnWriteUnseen, 75},
     {"truthful not run", &Safeguards::TruthfulNotRun, Broken::FalseNotRun, 1},
     {"answer id", &Safeguards::AnswerIdChecked, Broken::OwnWriteUnseen, 13},
     {"revision", &Safeguards::RevisionNeverFalls, Broken::RevisionFell, 1},
     {"read back", &Safeguards::LostAnswerReadBack, Broken::FalseRefusal, 24},
-    {"drain waits", &Safeguards::DrainWaits, Broken::CutByShutdown, 4},
+    {"drain waits", &Safeguards::DrainWaits, Broken::CutByShutdown, 20},
 };
 
 bool reports(const std::vector<Violation> &all, Broken what) {
@@ -75,7 +75,7 @@
     without.*it.Switch = false;
     CHECK(reports(runSoak(it.Seed, Span, without).Violations, it.Expected));
   }
-  for (std::uint64_t seed : {1, 2, 4, 8, 9, 10, 13, 24, 33, 39, 74})
+  for (std::uint64_t seed : {1, 2, 4, 5, 8, 9, 10, 13, 20, 24, 33, 39, 74, 75})
     CHECK(runSoak(seed, Span).Violations.empty());
 }
 
