Pace the calls for a missing term, and end them with the primary's owner

What callers would see: the platform is flooded. Where a leaving primary's replicas have no usable term though the object is full (one of them was fenced far ahead by a candidate that gave up), its owner wrote and read the object without a pause; and an owner that lost the primary while it lacked a term went on asking for one for ever. Cause: "begin no hand-over without a term" let a missing term skip the ranks' wait, and reset the reason only at the primary's owner. Found on reading the change again. Change: while a term is missing each call but the read that follows a write waits for the urgent pause, and the reason ends with the ownership. Tests, which failed before: primary without a term, given to another owner; primary, leaving below a fenced replica's term.

--- a/include/peridotfall/failover.h
+++ b/include/peridotfall/failover.h
@@ -198,8 +198,8 @@
   unsigned Missed = 0;               ///< Probes failed since then.
   TimePoint NextProbe;
   TimePoint NextFollow;
-  std::optional<TimePoint> AheadSince; ///< Of the primary's term.
-  std::optional<TimePoint> LeavingSince;
+  std::optional<TimePoint> AheadSince;   ///< Of the primary's term.
+  std::optional<TimePoint> LeavingSince; ///< By its answers here.
 };
 
 struct PeerRecord {
--- a/src/failover/handover.cpp
+++ b/src/failover/handover.cpp
@@ -144,6 +144,7 @@
   const auto *primary = findWatched(group, group.Primary);
   if (!primary || primary->Owner != group.Self) {
     failHandover(group, HandoverEnd::Interrupted, now, out);
+    group.HandoverBlocked.reset();
     return;
   }
   if (group.Leaving && !group.Leaving->To.empty()) {
--- a/src/failover/publication.cpp
+++ b/src/failover/publication.cpp
@@ -125,7 +125,9 @@
     it.StaleSince.reset();
   else if (!it.StaleSince)
     it.StaleSince = now;
-  if ((it.Calling || now < it.NextCall) && !isUrgent(group, now))
+  bool waits =
+      it.Calling || now < it.NextCall || (lacksTerm(group) && !it.MustRead);
+  if (waits && !isUrgent(group, now))
     return;
   bool old = !it.LastRead || now - *it.LastRead >= group.Limits.RefreshEvery;
   if (it.MustRead || old || it.Calling) {
--- a/tests/failover/failover_test.cpp
+++ b/tests/failover/failover_test.cpp
@@ -462,6 +462,44 @@
   CHECK(failedFor(HandoverEnd::Interrupted) == 1);
 }
 
+// Guards against an owner that goes on asking for a term for a primary that it
+// owns no more.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary without a term, leaving and given to another owner, "
+                  "is asked for no more") {
+  Sim.Platform.Down = true;
+  for (std::size_t n = 0; n < Domains; ++n)
+    renewOwner(n);
+  Sim.Targets[0].Report.Leaving = true;
+  Sim.runFor(milliseconds(500));
+  auto &group = Sim.Owners[0].Group;
+  REQUIRE(failedFor(HandoverEnd::NoTerm) == 1);
+  setTargets(group,
+             {{Sim.Targets[0].Name, Sim.Owners[1].Vm},
+              {Sim.Targets[1].Name, Sim.Owners[1].Vm},
+              {Sim.Targets[2].Name, Sim.Owners[0].Vm}},
+             Sim.now());
+  Sim.runFor(milliseconds(100));
+  CHECK_FALSE(group.HandoverBlocked);
+}
+
+// Guards against a platform that is written to without a pause, since no write
+// gives a leaving primary's replicas a term.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "primary, leaving below a fenced replica's term, writes the "
+                  "object with pauses") {
+  constexpr Term FarAhead = 50;
+  Sim.Targets[2].Report.CurrentTerm = FarAhead;
+  Sim.Targets[0].Report.Leaving = true;
+  Sim.History.clear();
+  Sim.runFor(std::chrono::seconds(1));
+  auto writes =
+      std::count_if(Sim.History.begin(), Sim.History.end(), [](const auto &it) {
+        return it.first == 0 && isA<PutObject>(it.second);
+      });
+  CHECK(writes <= 4);
+}
+
 // Guards against writes that are held nearly always while no replica can draw
 // level for longer than the limit.
 TEST_CASE_FIXTURE(FailoverFixture,
