Say in the log how much of an answer had come, and count the bytes of copies

What callers saw: configurations in force over 5 s late (CONFIG) once the text is large. The log had that a call was unanswered, not whether it was silent or an answer was on its way, nor how large answers are or who sent how much. Change: PF2008 has the bytes that had come and for how long; PF2011 is an answer of 16 KB or more; peridotfall_copy_bytes_total counts what is sent and received. No decision is changed.

--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -66,6 +66,12 @@
   asio::use_service<ChannelRegistry>(loop).add(this);
 }
 
+Transfer Channel::Call::received() const {
+  if (!FirstByte)
+    return {};
+  return {Out.Body.size(), std::chrono::steady_clock::now() - *FirstByte};
+}
+
 Channel::~Channel() { asio::use_service<ChannelRegistry>(Loop).remove(this); }
 
 void Channel::abandon() {
@@ -219,7 +225,8 @@
     asio::post(Loop, [keep = call] {});
     Io->flush();
   }
-  call->Done(TransportError{Failure::MaybeRun, "no answer in time"});
+  call->Done(
+      TransportError{Failure::MaybeRun, "no answer in time", call->received()});
 }
 
 int Channel::onHeader(nghttp2_session *, const nghttp2_frame *frame,
@@ -233,6 +240,8 @@
   std::string field(reinterpret_cast<const char *>(name), nameLength);
   std::string text(reinterpret_cast<const char *>(value), valueLength);
   auto &out = it->second->Out;
+  if (!it->second->FirstByte)
+    it->second->FirstByte = std::chrono::steady_clock::now();
   if (field == ":status")
     std::from_chars(text.data(), text.data() + text.size(), out.Status);
   else if (out.Fields.size() < limits::MaxHeaderFields)
@@ -266,6 +275,7 @@
   auto call = it->second;
   channel.Running.erase(it);
   call->Timer.cancel();
+  call->Out.Received = call->received();
   // The call back must not run inside the session: it may call again.
   asio::post(channel.Loop, [call, code] {
     if (code == NGHTTP2_NO_ERROR && !call->TooLarge)
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace peridotfall::http {
@@ -64,6 +65,10 @@
     asio::steady_timer Timer;
     std::int32_t Stream = 0;
     bool TooLarge = false;
+    /// When the answer began.
+    std::optional<std::chrono::steady_clock::time_point> FirstByte;
+
+    Transfer received() const;
   };
   using CallPtr = std::shared_ptr<Call>;
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -39,10 +39,19 @@
   std::shared_ptr<std::atomic<bool>> Gone;
 };
 
+/// How an answer came in.
+struct Transfer {
+  std::size_t Bytes = 0;           ///< Of its body, so far.
+  std::chrono::nanoseconds Took{}; ///< Since its first byte.
+
+  auto operator<=>(const Transfer &) const = default;
+};
+
 struct Response {
   int Status = 200;
   Headers Fields;
   std::string Body;
+  Transfer Received{}; ///< Set where a call was answered.
 };
 
 /// Sends the response; once, from any thread.
@@ -58,6 +67,7 @@
 struct TransportError {
   Failure Kind = Failure::NotSent;
   std::string Message;
+  Transfer Received{}; ///< Of an answer that was given up on.
 };
 
 } // namespace peridotfall::http
--- a/src/proxy/copies.cpp
+++ b/src/proxy/copies.cpp
@@ -1,6 +1,7 @@
 #include "proxy/copies.h"
 
 #include "messages/copy.h"
+#include "proxy/shared_watch.h"
 #include "telemetry/events.h"
 
 namespace peridotfall::proxy {
@@ -40,14 +41,21 @@
   auto body =
       messages::encode(messages::CopyRequest{mirror.kind(), mirror.revision()});
   const auto &address = Addresses[pick(Random)];
-  auto take = [&mirror, address](const http::CallResult &result) {
+  auto take = [this, &mirror, address,
+               began = Time.now()](const http::CallResult &result) {
+    CallLine line{mirror.kind(), "copy", address,
+                  result ? result.value().Received : result.error().Received,
+                  Time.now() - began};
+    countCopyBytes(Counts, line.Kind, CopyFlow::Received, line.Received.Bytes);
+    logLarge(line);
     bool answered = result && result.value().Status == StatusOk;
     auto copy = answered ? messages::decodeCopyAnswer(result.value().Body)
                          : Result<messages::CopyAnswer>(Error{});
     if (!copy)
       telemetry::log(Event::StoreCallUnanswered,
-                     {field("kind", mirror.kind()), field("call", "copy"),
-                      field("asked", address)});
+                     {field("kind", line.Kind), field("call", line.Call),
+                      field("asked", address),
+                      field("bytes", line.Received.Bytes)});
     else if (mirror.takeCopy(copy.value().Objects, copy.value().Revision))
       telemetry::log(Event::CopyTaken,
                      {field("kind", mirror.kind()),
@@ -73,7 +81,9 @@
     if (it->kind() == message.value().Kind &&
         it->revision() > message.value().NewerThan)
       out = {it->revision(), it->objects()};
-  respond({StatusOk, {}, messages::encode(out)});
+  auto body = messages::encode(out);
+  countCopyBytes(Counts, message.value().Kind, CopyFlow::Sent, body.size());
+  respond({StatusOk, {}, std::move(body)});
   return true;
 }
 
--- a/src/proxy/copies.h
+++ b/src/proxy/copies.h
@@ -7,6 +7,7 @@
 
 #include "http/message.h"
 #include "peridotfall/membership.h"
+#include "proxy/metrics.h"
 #include "proxy/mirror.h"
 #include "proxy/relay.h"
 
@@ -29,8 +30,9 @@
 /// All calls on the loop.
 class Copies {
 public:
-  Copies(Channels &channels, const Clock &clock, std::uint64_t seed)
-      : Links(channels), Time(clock), Random(seed) {}
+  Copies(Channels &channels, ProxyMetrics &counts, const Clock &clock,
+         std::uint64_t seed)
+      : Links(channels), Counts(counts), Time(clock), Random(seed) {}
 
   /// \param mirror outlives this.
   void add(Mirror &mirror) { Mirrors.push_back(&mirror); }
@@ -43,6 +45,7 @@
   void ask(Mirror &mirror);
 
   Channels &Links;
+  ProxyMetrics &Counts;
   const Clock &Time;
   std::mt19937_64 Random;
   std::vector<Mirror *> Mirrors;
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -101,6 +101,10 @@
       to, "peridotfall_store_calls_total",
       "Calls on the platform's store, by kind of objects and whether it "
       "answered.");
+  it.CopyBytes = &counters(
+      to, "peridotfall_copy_bytes_total",
+      "Bytes of copies of the store's objects, by kind: sent to other daemons; "
+      "received from them or from the store, given up on or not.");
   it.Now = &prometheus::BuildGauge()
                 .Name("peridotfall_now")
                 .Help("Present values; the label says of what.")
@@ -161,6 +165,14 @@
       .Increment();
 }
 
+void countCopyBytes(ProxyMetrics &it, const std::string &kind, CopyFlow flow,
+                    std::size_t bytes) {
+  it.CopyBytes
+      ->Add({{"kind", kind},
+             {"flow", flow == CopyFlow::Sent ? "sent" : "received"}})
+      .Increment(static_cast<double>(bytes));
+}
+
 std::string writeText(ProxyMetrics &it, const ProxyGauges &now) {
   auto set = [&](const char *what, double value) {
     it.Now->Add({{"of", what}}).Set(value);
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -49,6 +49,10 @@
 
 enum class StoreCall : std::uint8_t { Read, Write };
 
+/// Copies of the store's objects, on their way from or to another daemon, or
+/// from the store.
+enum class CopyFlow : std::uint8_t { Sent, Received };
+
 /// How long ago the store last answered for a kind of objects.
 struct StoreAge {
   std::string Kind;
@@ -93,6 +97,7 @@
   Counter Promotions = nullptr;
   Counter RecordsLacked = nullptr;
   Family StoreAnswers = nullptr;
+  Family CopyBytes = nullptr;
   prometheus::Family<prometheus::Gauge> *Now = nullptr;
   prometheus::Family<prometheus::Gauge> *StoreAge = nullptr;
 };
@@ -114,6 +119,8 @@
 void countChangePart(ProxyMetrics &it, ChangePart part, Duration took);
 void countStoreCall(ProxyMetrics &it, const std::string &kind, StoreCall call,
                     bool answered);
+void countCopyBytes(ProxyMetrics &it, const std::string &kind, CopyFlow flow,
+                    std::size_t bytes);
 
 /// \return the Prometheus text format, the counts of events included.
 std::string writeText(ProxyMetrics &it, const ProxyGauges &now);
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -5,6 +5,7 @@
 #ifndef PERIDOTFALL_PROXY_MIRROR_H
 #define PERIDOTFALL_PROXY_MIRROR_H
 
+#include "http/message.h"
 #include "peridotfall/clock.h"
 #include "platform/backoff.h"
 
@@ -92,7 +93,8 @@
   std::vector<StoredObject> Objects;
   bool More = false;
   std::uint64_t Revision = 0;
-  Duration Age{}; ///< Since the store said so.
+  Duration Age{};            ///< Since the store said so.
+  http::Transfer Received{}; ///< Also of an answer that was given up on.
 };
 /// A watch's answer has the same fields.
 using ObjectChanges = ObjectPage;
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -49,26 +49,42 @@
   Plan = planWatches(self, domain, live);
 }
 
-void SharedWatch::logUnanswered(const std::string &kind, const char *call,
-                                const std::string &asked, TimePoint began) {
-  auto now = Time.now();
-  auto fresh = FreshAt.find(kind);
+void logLarge(const CallLine &line) {
+  if (line.Received.Bytes < limits::LargeAnswer)
+    return;
+  telemetry::log(Event::LargeAnswer,
+                 {field("kind", line.Kind), field("call", line.Call),
+                  field("asked", line.Asked),
+                  field("bytes", line.Received.Bytes),
+                  field("transfer_ms", wholeMillis(line.Received.Took)),
+                  field("waited_ms", wholeMillis(line.Waited))});
+}
+
+void SharedWatch::noteUnanswered(const CallLine &line) {
+  auto fresh = FreshAt.find(line.Kind);
   telemetry::log(
       Event::StoreCallUnanswered,
-      {field("kind", kind), field("call", call), field("asked", asked),
-       field("waited_ms", wholeMillis(now - began)),
-       field("age_ms", fresh == FreshAt.end() ? std::string("-")
-                                              : std::to_string(wholeMillis(
-                                                    now - fresh->second)))});
+      {field("kind", line.Kind), field("call", line.Call),
+       field("asked", line.Asked), field("waited_ms", wholeMillis(line.Waited)),
+       field("bytes", line.Received.Bytes),
+       field("transfer_ms", wholeMillis(line.Received.Took)),
+       field("age_ms",
+             fresh == FreshAt.end()
+                 ? std::string("-")
+                 : std::to_string(wholeMillis(Time.now() - fresh->second)))});
 }
 
 void SharedWatch::noteStore(const std::string &kind, const char *call,
                             TimePoint began, const ObjectPage &page) {
   bool answered = page.Outcome != ReadOutcome::Unavailable;
-  if (answered)
+  CallLine line{kind, call, "store", page.Received, Time.now() - began};
+  if (OnReceived)
+    OnReceived(kind, page.Received.Bytes);
+  if (answered) {
     FreshAt[kind] = Time.now();
-  else
-    logUnanswered(kind, call, "store", began);
+    logLarge(line);
+  } else
+    noteUnanswered(line);
   if (OnStoreCall)
     OnStoreCall(kind, answered);
 }
@@ -131,20 +147,24 @@
     watchStore(kind, revision, wait, std::move(done));
     return;
   }
-  auto answered =
-      [this, kind, revision, wait, began = now, vm = watcher->Vm,
-       done = std::move(done)](const std::optional<messages::WatchAnswer> &it) {
-        if (it && it->Changes.Outcome != ReadOutcome::Unavailable) {
-          FreshAt[kind] = std::max(FreshAt[kind], Time.now() - it->Age);
-          auto changes = it->Changes;
-          changes.Age = it->Age;
-          done(changes);
-          return;
-        }
-        logUnanswered(kind, "watch", vm.Value, began);
-        PausedUntil[vm] = Time.now() + limits::WatcherPause;
-        watch(kind, revision, wait, done);
-      };
+  auto answered = [this, kind, revision, wait, began = now, vm = watcher->Vm,
+                   done = std::move(done)](const WatchReply &reply) {
+    const auto &it = reply.Answer;
+    CallLine line{kind, "watch", vm.Value, reply.Received, Time.now() - began};
+    if (OnReceived)
+      OnReceived(kind, reply.Received.Bytes);
+    if (it && it->Changes.Outcome != ReadOutcome::Unavailable) {
+      FreshAt[kind] = std::max(FreshAt[kind], Time.now() - it->Age);
+      logLarge(line);
+      auto changes = it->Changes;
+      changes.Age = it->Age;
+      done(changes);
+      return;
+    }
+    noteUnanswered(line);
+    PausedUntil[vm] = Time.now() + limits::WatcherPause;
+    watch(kind, revision, wait, done);
+  };
   Others.watch(watcher->InnerAddress, {kind, revision, most},
                most + limits::SharedSlack, std::move(answered));
 }
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -35,6 +35,8 @@
 /// Share of a copy's greatest age after which a daemon that watches for others
 /// has its outages noticed at the latest.
 inline constexpr int FreshParts = 2;
+/// Bytes of an answer from which on it is logged.
+inline constexpr std::size_t LargeAnswer = 16 << 10;
 
 } // namespace limits
 
@@ -50,10 +52,13 @@
 WatchPlan planWatches(const VmName &self, const DomainName &domain,
                       const std::vector<Member> &live);
 
-using OnWatchAnswer =
-    std::function<void(const std::optional<messages::WatchAnswer> &)>;
+struct WatchReply {
+  std::optional<messages::WatchAnswer> Answer; ///< None came in time.
+  http::Transfer Received{};
+};
+using OnWatchAnswer = std::function<void(const WatchReply &)>;
 
-/// Asks other daemons. \p done gets nothing where there was no answer in time.
+/// Asks other daemons.
 class WatcherPort {
 public:
   virtual ~WatcherPort() = default;
@@ -62,6 +67,18 @@
                      OnWatchAnswer done) = 0;
 };
 
+/// A call that has ended, for its line in the log.
+struct CallLine {
+  std::string Kind;
+  const char *Call = ""; ///< "list", "watch" or "copy".
+  std::string Asked;     ///< A daemon, or the store.
+  http::Transfer Received;
+  Duration Waited{};
+};
+
+/// Logs an answer that is large enough to fill a link.
+void logLarge(const CallLine &line);
+
 /// Lists go to the store. A watch goes to a daemon that watches for others, as
 /// long as the copy is then no older than \p freshFor; otherwise to the store.
 /// Not synchronised; outlives what it was asked for.
@@ -72,6 +89,8 @@
   SharedWatch(ObjectSource &store, WatcherPort &others, std::string sentinel,
               milliseconds freshFor, const Clock &clock);
 
+  /// Called after each call, with the bytes of its answer.
+  std::function<void(const std::string &kind, std::size_t bytes)> OnReceived;
   /// Called after each call of the store, with whether it answered.
   std::function<void(const std::string &kind, bool answered)> OnStoreCall;
 
@@ -89,8 +108,7 @@
                   milliseconds wait, OnChanges done);
   void noteStore(const std::string &kind, const char *call, TimePoint began,
                  const ObjectPage &page);
-  void logUnanswered(const std::string &kind, const char *call,
-                     const std::string &asked, TimePoint began);
+  void noteUnanswered(const CallLine &line);
 
   ObjectSource &Store;
   WatcherPort &Others;
--- a/src/proxy/watch_calls.h
+++ b/src/proxy/watch_calls.h
@@ -5,6 +5,7 @@
 #define PERIDOTFALL_PROXY_WATCH_CALLS_H
 
 #include "http/message.h"
+#include "proxy/metrics.h"
 #include "proxy/relay.h"
 #include "proxy/shared_watch.h"
 
@@ -23,8 +24,8 @@
 };
 
 /// \return whether the path is of this protocol.
-bool handleWatch(WatchHost &host, const http::Request &request,
-                 const http::Respond &respond);
+bool handleWatch(WatchHost &host, ProxyMetrics &counts,
+                 const http::Request &request, const http::Respond &respond);
 
 } // namespace peridotfall::proxy
 
--- a/tests/proxy/shared_watch_test.cpp
+++ b/tests/proxy/shared_watch_test.cpp
@@ -87,14 +87,14 @@
       return;
     Host.begin(request, [shared](const messages::WatchAnswer &it) {
       if (auto then = std::exchange(*shared, nullptr))
-        then(it);
+        then({it});
     });
   }
   void tick() {
     auto call = Pending.first;
     if (!call || !*call || Time.now() < Pending.second)
       return;
-    std::exchange(*call, nullptr)(std::nullopt);
+    std::exchange(*call, nullptr)({});
   }
 
   FakeLink(WatchHost &host, const Clock &clock) : Host(host), Time(clock) {}
--- a/tests/proxy/store_outage_test.cpp
+++ b/tests/proxy/store_outage_test.cpp
@@ -132,7 +132,7 @@
   for (auto &it : *All)
     if (it->Self.InnerAddress == address)
       it->Host.begin(request, [done](const messages::WatchAnswer &answer) {
-        done(answer);
+        done({answer});
       });
 }
 
