Add tests that fail for a large configuration on narrow links

Daemons of one failure domain in virtual time, over links whose bandwidth is shared by what is under way, with the real decisions and the real messages. Calls between daemons go through a port for it; no decision is changed.

The earlier tests could not fail: in their links every answer, however large, arrives at once.

--- a/src/proxy/copies.h
+++ b/src/proxy/copies.h
@@ -30,9 +30,9 @@
 /// All calls on the loop.
 class Copies {
 public:
-  Copies(Channels &channels, ProxyMetrics &counts, const Clock &clock,
+  Copies(CallPort &calls, ProxyMetrics &counts, const Clock &clock,
          std::uint64_t seed)
-      : Links(channels), Counts(counts), Time(clock), Random(seed) {}
+      : Links(calls), Counts(counts), Time(clock), Random(seed) {}
 
   /// \param mirror outlives this.
   void add(Mirror &mirror) { Mirrors.push_back(&mirror); }
@@ -44,7 +44,7 @@
 private:
   void ask(Mirror &mirror);
 
-  Channels &Links;
+  CallPort &Links;
   ProxyMetrics &Counts;
   const Clock &Time;
   std::mt19937_64 Random;
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -23,8 +23,18 @@
 
 } // namespace limits
 
+/// Calls to other daemons.
+class CallPort {
+public:
+  virtual ~CallPort() = default;
+  /// \param limit longest wait for the whole answer.
+  virtual void call(const std::string &address, const char *path,
+                    std::string body, milliseconds limit,
+                    http::OnResult done) = 0;
+};
+
 /// One connection to each daemon. All calls on the loop.
-class Channels {
+class Channels final : public CallPort {
 public:
   explicit Channels(asio::io_context &loop) : Loop(loop) {}
 
@@ -32,7 +42,7 @@
   /// A silent connection stays silent; the next call makes its own.
   void drop(const std::string &address);
   void call(const std::string &address, const char *path, std::string body,
-            milliseconds limit, http::OnResult done);
+            milliseconds limit, http::OnResult done) override;
 
 private:
   asio::io_context &Loop;
--- a/src/proxy/watch_calls.h
+++ b/src/proxy/watch_calls.h
@@ -14,13 +14,13 @@
 /// All calls on the loop.
 class WatchCalls final : public WatcherPort {
 public:
-  explicit WatchCalls(Channels &channels) : Links(channels) {}
+  explicit WatchCalls(CallPort &calls) : Links(calls) {}
 
   void watch(const std::string &address, const messages::WatchRequest &request,
              milliseconds limit, OnWatchAnswer done) override;
 
 private:
-  Channels &Links;
+  CallPort &Links;
 };
 
 /// \return whether the path is of this protocol.
--- /dev/null
+++ b/tests/proxy/large_copies_test.cpp
@@ -0,0 +1,395 @@
+#include "proxy/copies.h"
+#include "proxy/link_model.h"
+#include "proxy/shared_watch.h"
+#include "proxy/watch_calls.h"
+
+#include <doctest/doctest.h>
+#include <memory>
+#include <optional>
+#include <random>
+#include <utility>
+#include <vector>
+
+using namespace peridotfall;
+using namespace peridotfall::proxy;
+using peridotfall::testing::LinkModel;
+
+namespace {
+
+constexpr auto Kind = "configuration";
+constexpr auto StoreName = "store";
+constexpr milliseconds Bound{5'000};
+constexpr milliseconds Step{10};
+/// What callers leave of a link of 10 Mbit/s.
+constexpr double NarrowLink = 6e6 / 8;
+constexpr double StoreLink = 1'000e6 / 8;
+constexpr std::size_t FewRoutes = 70;
+constexpr std::size_t ManyRoutes = 1'470;
+const DomainName Here("here");
+
+/// A text like an operator's: names without a pattern, few other values.
+std::string configurationText(std::size_t routes, unsigned idleMillis) {
+  constexpr unsigned Seed = 7;
+  std::mt19937 random(Seed);
+  auto word = [&random] {
+    constexpr std::string_view Letters = "abcdefghijklmnopqrstuvwxyz0123456789";
+    constexpr std::size_t Length = 8;
+    std::uniform_int_distribution<std::size_t> pick(0, Letters.size() - 1);
+    std::string out;
+    for (std::size_t n = 0; n < Length; ++n)
+      out += Letters[pick(random)];
+    return out;
+  };
+  auto out = R"({"limits":{"tx_idle_ms":)" + std::to_string(idleMillis) +
+             R"(},"routes":[)";
+  for (std::size_t n = 0; n < routes; ++n)
+    out += R"({"host":")" + word() +
+           R"(","latency_goal_ms":500,"max_attempts":2,"name":"r-)" + word() +
+           R"(","path_prefix":"/","priority":2,"service":"huvo11a",)"
+           R"("timeout_ms":1200,"type":"read_your_writes"},)";
+  return out + "]}";
+}
+
+Member memberOf(std::size_t n) {
+  Member it;
+  it.Vm = VmName("vm-" + std::to_string(n));
+  it.Domain = Here;
+  it.InnerAddress = it.Vm.Value;
+  return it;
+}
+
+/// The store's one object, and all that has become of it.
+struct History {
+  std::vector<StoredObject> Versions;
+  std::vector<TimePoint> Since;
+
+  void put(std::string text, TimePoint now) {
+    Versions.push_back({"main", std::move(text), Versions.size() + 1, false});
+    Since.push_back(now);
+  }
+  std::uint64_t revision() const { return Versions.back().Revision; }
+};
+
+/// The store as one daemon reaches it. A watch answers with each version since.
+class LinkedStore final : public ObjectSource {
+public:
+  LinkedStore(const History &of, LinkModel &links, std::string self,
+              const Clock &clock)
+      : Of(of), Links(links), Self(std::move(self)), Time(clock) {}
+
+  void list(const std::string &, const std::string &, milliseconds limit,
+            OnPage done) override {
+    begin({.Until = Time.now(),
+           .GivenUp = Time.now() + limit,
+           .Done = std::move(done),
+           .IsList = true});
+  }
+  void watch(const std::string &, std::uint64_t revision, milliseconds wait,
+             OnChanges done) override {
+    begin({.NewerThan = revision,
+           .Until = Time.now() + wait,
+           .GivenUp = Time.now() + wait + proxy::limits::WatchSlack,
+           .Done = std::move(done)});
+  }
+  void tick() {
+    auto now = Time.now();
+    for (const auto &it : std::vector(Calls))
+      if (Reached && !it->Flow &&
+          (now >= it->Until || it->NewerThan < Of.revision()))
+        answer(it);
+    for (const auto &it : std::vector(Calls))
+      if (now >= it->GivenUp)
+        giveUp(it);
+  }
+
+  bool Reached = true; ///< A call that comes while it is not has no answer.
+  unsigned GivenUp = 0;
+
+private:
+  struct Call {
+    std::uint64_t NewerThan = 0;
+    TimePoint Until;
+    TimePoint GivenUp;
+    OnPage Done;
+    bool IsList = false;
+    LinkModel::FlowPtr Flow;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  void begin(Call call) {
+    Calls.push_back(std::make_shared<Call>(std::move(call)));
+  }
+  void answer(const CallPtr &it) {
+    constexpr std::size_t Headers = 200;
+    ObjectPage page{ReadOutcome::Done, {}, false, Of.revision()};
+    auto bytes = Headers;
+    for (const auto &version : Of.Versions)
+      if (version.Revision > it->NewerThan &&
+          (!it->IsList || version.Revision == Of.revision())) {
+        page.Objects.push_back(version);
+        bytes += version.Spec.size();
+      }
+    it->Flow = Links.send(StoreName, Self, bytes, [this, it, page] {
+      std::erase(Calls, it);
+      auto out = page;
+      out.Received = it->Flow->received(Time.now());
+      it->Done(std::move(out));
+    });
+  }
+  void giveUp(const CallPtr &it) {
+    ++GivenUp;
+    std::erase(Calls, it);
+    if (it->Flow)
+      Links.cancel(it->Flow);
+    it->Done({});
+  }
+
+  const History &Of;
+  LinkModel &Links;
+  std::string Self;
+  const Clock &Time;
+  std::vector<CallPtr> Calls;
+};
+
+/// Calls between daemons. Requests are small and arrive at once.
+class LinkedCalls final : public CallPort {
+public:
+  using Handle = std::function<void(const std::string &address,
+                                    const http::Request &, http::Respond)>;
+
+  LinkedCalls(LinkModel &links, std::string self, Handle handle,
+              const Clock &clock)
+      : Links(links), Self(std::move(self)), There(std::move(handle)),
+        Time(clock) {}
+
+  void call(const std::string &address, const char *path, std::string body,
+            milliseconds limit, http::OnResult done) override {
+    auto it = std::make_shared<Call>();
+    it->GivenUp = Time.now() + limit;
+    it->Done = std::move(done);
+    Calls.push_back(it);
+    http::Request request;
+    request.Path = path;
+    request.Body = std::move(body);
+    There(address, request, [this, it, address](http::Response response) {
+      if (std::find(Calls.begin(), Calls.end(), it) == Calls.end())
+        return;
+      auto bytes = response.Body.size();
+      it->Flow =
+          Links.send(address, Self, bytes,
+                     [this, it, response = std::move(response)]() mutable {
+                       std::erase(Calls, it);
+                       response.Received = it->Flow->received(Time.now());
+                       it->Done(std::move(response));
+                     });
+    });
+  }
+  void tick() {
+    for (const auto &it : std::vector(Calls))
+      if (Time.now() >= it->GivenUp)
+        giveUp(it);
+  }
+
+  unsigned GivenUp = 0;
+
+private:
+  struct Call {
+    TimePoint GivenUp;
+    http::OnResult Done;
+    LinkModel::FlowPtr Flow;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  void giveUp(const CallPtr &it) {
+    ++GivenUp;
+    std::erase(Calls, it);
+    if (it->Flow)
+      Links.cancel(it->Flow);
+    it->Done(http::TransportError{http::Failure::MaybeRun, "no answer in time",
+                                  it->Flow ? it->Flow->received(Time.now())
+                                           : http::Transfer{}});
+  }
+
+  LinkModel &Links;
+  std::string Self;
+  Handle There;
+  const Clock &Time;
+  std::vector<CallPtr> Calls;
+};
+
+struct Daemon {
+  Daemon(const Member &self, const std::vector<Member> &live,
+         const History &objects, LinkModel &links, LinkedCalls::Handle handle,
+         std::uint64_t seed, const Clock &clock)
+      : Self(self), Store(objects, links, self.InnerAddress, clock),
+        Calls(links, self.InnerAddress, std::move(handle), clock),
+        WatchLinks(Calls), Host(clock),
+        Watch(Store, WatchLinks, Kind, freshFor(Bound), clock),
+        Handed(Calls, Counts, clock, seed),
+        Copy({.Kind = Kind,
+              .Backoff = returnBackoff(1'000),
+              .Seed = seed,
+              .WatchWait = watchWait(Bound)},
+             Watch, clock) {
+    Host.add(Copy, true);
+    Handed.add(Copy);
+    Watch.takeMembers(Self.Vm, Here, live);
+    Handed.takeMembers(Self.Vm, live);
+    Copy.start();
+  }
+  void handle(const http::Request &request, const http::Respond &respond) {
+    if (!Handed.handle(request, respond))
+      handleWatch(Host, Counts, request, respond);
+  }
+  void tick() {
+    Store.tick();
+    Calls.tick();
+    Copy.tick();
+    Host.tick();
+    Handed.tick();
+  }
+
+  Member Self;
+  ProxyMetrics Counts = makeProxyMetrics();
+  LinkedStore Store;
+  LinkedCalls Calls;
+  WatchCalls WatchLinks;
+  WatchHost Host;
+  SharedWatch Watch;
+  Copies Handed;
+  Mirror Copy;
+};
+
+/// Daemons of one failure domain on narrow links, before one store.
+struct NarrowLinksFixture {
+  ManualClock Time;
+  LinkModel Links{NarrowLink, Time};
+  History Objects;
+  std::vector<std::unique_ptr<Daemon>> All;
+  Duration WorstLag{};
+
+  NarrowLinksFixture() {
+    Links.widen(StoreName, StoreLink);
+    Objects.put(configurationText(FewRoutes, 500), Time.now());
+  }
+  void start(std::size_t daemons) {
+    std::vector<Member> live;
+    for (std::size_t n = 0; n < daemons; ++n)
+      live.push_back(memberOf(n));
+    auto handle = [this](const std::string &address,
+                         const http::Request &request, http::Respond respond) {
+      for (auto &it : All)
+        if (it->Self.InnerAddress == address)
+          it->handle(request, respond);
+    };
+    for (const auto &it : live)
+      All.push_back(std::make_unique<Daemon>(it, live, Objects, Links, handle,
+                                             All.size() + 1, Time));
+    pass(milliseconds(8'000));
+  }
+  void put(std::size_t routes, unsigned idleMillis) {
+    Objects.put(configurationText(routes, idleMillis), Time.now());
+  }
+  void pass(Duration span) {
+    for (Duration done{}; done < span; done += Step) {
+      Time.advance(Step);
+      Links.pass(Step);
+      for (auto &it : All)
+        it->tick();
+      noteLag();
+    }
+  }
+  /// The time that the oldest version not yet known everywhere has stood.
+  void noteLag() {
+    for (const auto &it : All) {
+      auto known = it->Copy.revision();
+      if (known < Objects.revision())
+        WorstLag = std::max(WorstLag, Time.now() - Objects.Since[known]);
+    }
+  }
+  double sentByDaemons() const {
+    double out = 0;
+    for (const auto &it : All)
+      out += Links.sent(it->Self.InnerAddress);
+    return out;
+  }
+  unsigned givenUp() const {
+    unsigned out = 0;
+    for (const auto &it : All)
+      out += it->Calls.GivenUp + it->Store.GivenUp;
+    return out;
+  }
+};
+
+constexpr std::size_t Daemons = 13;
+
+struct Outcome {
+  Duration WorstLag{};
+  unsigned GivenUp = 0;
+};
+
+/// Changes each second, the first one at \p phase of the daemons' watches.
+Outcome changeOften(milliseconds phase) {
+  constexpr unsigned Changes = 9;
+  constexpr milliseconds BetweenChanges{1'000};
+  NarrowLinksFixture it;
+  it.start(Daemons);
+  it.pass(phase);
+  for (unsigned n = 0; n < Changes; ++n) {
+    it.put(ManyRoutes, 1'000 + n);
+    it.pass(BetweenChanges);
+  }
+  it.pass(2 * Bound);
+  return {it.WorstLag, it.givenUp()};
+}
+
+} // namespace
+
+// Guards against a transfer under way that is taken for silence and begun anew.
+TEST_CASE("large configuration on narrow links, changed each second, is known "
+          "in time") {
+  constexpr milliseconds PhaseStep{250};
+  for (milliseconds phase{}; phase < proxy::limits::SharedWait;
+       phase += PhaseStep) {
+    CAPTURE(phase.count());
+    auto it = changeOften(phase);
+    CHECK(std::chrono::duration_cast<milliseconds>(it.WorstLag).count() <=
+          Bound.count());
+    CHECK(it.GivenUp == 0);
+  }
+}
+
+// Guards against a daemon that is sent each version that it missed.
+TEST_CASE_FIXTURE(NarrowLinksFixture,
+                  "daemon cut off while a large configuration changes, is sent "
+                  "the last one only") {
+  constexpr std::size_t Alone = 1;
+  constexpr unsigned Changes = 20;
+  start(Alone);
+  All[0]->Store.Reached = false;
+  for (unsigned n = 0; n < Changes; ++n)
+    put(ManyRoutes, 1'000 + n);
+  pass(2 * Bound);
+  auto before = Links.sent(StoreName);
+  All[0]->Store.Reached = true;
+  pass(2 * Bound);
+  CHECK(All[0]->Copy.revision() == Objects.revision());
+  CHECK(Links.sent(StoreName) - before <
+        2.0 * static_cast<double>(Objects.Versions.back().Spec.size()));
+}
+
+// Guards against a whole text that is sent to each daemon for a small change.
+TEST_CASE_FIXTURE(NarrowLinksFixture,
+                  "small change of a large configuration, daemons send each "
+                  "other little") {
+  start(Daemons);
+  put(ManyRoutes, 1'000);
+  pass(2 * Bound);
+  auto before = sentByDaemons();
+  put(ManyRoutes, 2'000);
+  pass(Bound);
+  for (const auto &it : All)
+    CHECK(it->Copy.objects().at("main").Spec == Objects.Versions.back().Spec);
+  CHECK(sentByDaemons() - before <
+        static_cast<double>(Objects.Versions.back().Spec.size()));
+}
--- /dev/null
+++ b/tests/proxy/link_model.h
@@ -0,0 +1,101 @@
+/// \file
+/// Answers on their way over links of limited bandwidth, in virtual time.
+
+#ifndef PERIDOTFALL_TESTS_PROXY_LINK_MODEL_H
+#define PERIDOTFALL_TESTS_PROXY_LINK_MODEL_H
+
+#include "http/message.h"
+#include "peridotfall/clock.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace peridotfall::testing {
+
+/// Bytes that go from one machine to another. The links of both are shared
+/// evenly by all that is under way on them, one way each.
+class LinkModel {
+public:
+  struct Flow {
+    std::string From;
+    std::string To;
+    double Size = 0;
+    double Left = 0;
+    TimePoint Began;
+    std::function<void()> Done;
+
+    http::Transfer received(TimePoint now) const {
+      return {static_cast<std::size_t>(Size - Left), now - Began};
+    }
+  };
+  using FlowPtr = std::shared_ptr<Flow>;
+
+  LinkModel(double bytesPerSecond, const Clock &clock)
+      : Rate(bytesPerSecond), Time(clock) {}
+
+  /// Sets the rate of one machine's link.
+  void widen(const std::string &machine, double bytesPerSecond) {
+    Rates[machine] = bytesPerSecond;
+  }
+  FlowPtr send(std::string from, std::string to, std::size_t bytes,
+               std::function<void()> done) {
+    auto size = static_cast<double>(bytes);
+    Sent[from] += size;
+    Flows.push_back(
+        std::make_shared<Flow>(Flow{std::move(from), std::move(to), size, size,
+                                    Time.now(), std::move(done)}));
+    return Flows.back();
+  }
+  /// What has not arrived is lost.
+  void cancel(const FlowPtr &it) { std::erase(Flows, it); }
+  /// \return bytes that \p machine was given to send.
+  double sent(const std::string &machine) const {
+    auto it = Sent.find(machine);
+    return it == Sent.end() ? 0 : it->second;
+  }
+  void pass(Duration span) {
+    std::map<std::string, int> out;
+    std::map<std::string, int> in;
+    for (const auto &it : Flows) {
+      ++out[it->From];
+      ++in[it->To];
+    }
+    for (const auto &it : Flows) {
+      double rate = std::min(rateOf(it->From) / out[it->From],
+                             rateOf(it->To) / in[it->To]);
+      it->Left -= rate * std::chrono::duration<double>(span).count();
+    }
+    finish();
+  }
+
+private:
+  double rateOf(const std::string &machine) const {
+    auto it = Rates.find(machine);
+    return it == Rates.end() ? Rate : it->second;
+  }
+  void finish() {
+    auto whole =
+        std::stable_partition(Flows.begin(), Flows.end(),
+                              [](const FlowPtr &it) { return it->Left > 0; });
+    std::vector<FlowPtr> done(whole, Flows.end());
+    Flows.erase(whole, Flows.end());
+    for (const auto &it : done) {
+      it->Left = 0;
+      it->Done();
+    }
+  }
+
+  double Rate;
+  const Clock &Time;
+  std::map<std::string, double> Rates;
+  std::map<std::string, double> Sent;
+  std::vector<FlowPtr> Flows;
+};
+
+} // namespace peridotfall::testing
+
+#endif // PERIDOTFALL_TESTS_PROXY_LINK_MODEL_H
