Limit a call by the progress of its answer, not by its whole

What callers saw: configurations in force over 5 s late (CONFIG) on links of 10 Mbit/s, once a configuration has 1,400 routes. Cause: the limits of watches between daemons (0.2 s beyond their wait), of the store (0.5 s) and of copies (0.4 s) held for the whole answer. An answer that was on its way was taken for silence, given up, and asked for anew from elsewhere: the links stayed full of what nobody read to its end. Change: an answer that may be large has a limit for its beginning and one for a stall, 0.7 s without a byte; there is none on the whole, since what is begun again takes no less. One copy of a kind is asked for at a time.

--- a/include/peridotfall/limits.h
+++ b/include/peridotfall/limits.h
@@ -47,6 +47,9 @@
 inline constexpr std::size_t MaxParameters = 256;
 /// Waits of one connection attempt, in and out of the fleet.
 inline constexpr milliseconds ConnectLimit{1'000};
+/// An answer that has begun is given up after so long without another byte. Two
+/// packets lost in a row are sent again within it.
+inline constexpr milliseconds AnswerStall{700};
 /// Shards of the owner's state, each under its lock.
 inline constexpr std::size_t OwnerShards = 16;
 
--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -67,9 +67,7 @@
 }
 
 Transfer Channel::Call::received() const {
-  if (!FirstByte)
-    return {};
-  return {Out.Body.size(), std::chrono::steady_clock::now() - *FirstByte};
+  return Progress.transfer(Out.Body.size(), std::chrono::steady_clock::now());
 }
 
 Channel::~Channel() { asio::use_service<ChannelRegistry>(Loop).remove(this); }
@@ -82,24 +80,38 @@
 
 void Channel::call(Request request, std::chrono::milliseconds limit,
                    OnResult done) {
+  call(std::move(request), wholeWithin(limit), std::move(done));
+}
+
+void Channel::call(Request request, const AnswerLimits &limits, OnResult done) {
   auto it = std::make_shared<Call>(Loop);
   it->In = std::move(request);
   it->Done = std::move(done);
-  asio::dispatch(
-      Loop, [self = shared_from_this(), it, limit] { self->begin(it, limit); });
+  asio::dispatch(Loop, [self = shared_from_this(), it, limits] {
+    self->begin(it, limits);
+  });
 }
 
-void Channel::begin(const CallPtr &call, std::chrono::milliseconds limit) {
-  if (Closed || Dead) {
-    call->Done(TransportError{Failure::NotSent, "connection closed"});
-    return;
-  }
-  call->Timer.expires_after(limit);
+void Channel::startTimer(const CallPtr &call) {
+  call->Timer.expires_at(call->Progress.deadline());
   call->Timer.async_wait([weak = weak_from_this(), call](std::error_code ec) {
     auto self = weak.lock();
-    if (!ec && self)
+    if (ec || !self)
+      return;
+    if (std::chrono::steady_clock::now() < call->Progress.deadline())
+      self->startTimer(call);
+    else
       self->expire(call);
   });
+}
+
+void Channel::begin(const CallPtr &call, const AnswerLimits &limits) {
+  if (Closed || Dead) {
+    call->Done(TransportError{Failure::NotSent, "connection closed"});
+    return;
+  }
+  call->Progress = AnswerProgress(limits, std::chrono::steady_clock::now());
+  startTimer(call);
   if (Io && Io->isOpen() && !Connecting) {
     submit(call);
     return;
@@ -207,6 +219,14 @@
   Io->flush();
 }
 
+void Channel::noteReceived(const CallPtr &call) {
+  bool begins = !call->Progress.hasBegun();
+  call->Progress.received(std::chrono::steady_clock::now());
+  // An answer that stalls may be given up earlier than one that never begins.
+  if (begins)
+    startTimer(call);
+}
+
 void Channel::expire(const CallPtr &call) {
   if (call->Stream == 0) {
     auto it = std::find(Waiting.begin(), Waiting.end(), call);
@@ -240,8 +260,7 @@
   std::string field(reinterpret_cast<const char *>(name), nameLength);
   std::string text(reinterpret_cast<const char *>(value), valueLength);
   auto &out = it->second->Out;
-  if (!it->second->FirstByte)
-    it->second->FirstByte = std::chrono::steady_clock::now();
+  from(self).noteReceived(it->second);
   if (field == ":status")
     std::from_chars(text.data(), text.data() + text.size(), out.Status);
   else if (out.Fields.size() < limits::MaxHeaderFields)
@@ -255,6 +274,7 @@
   auto it = channel.Running.find(stream);
   if (it == channel.Running.end())
     return 0;
+  channel.noteReceived(it->second);
   auto &body = it->second->Out.Body;
   if (body.size() + length > channel.Options.MaxBody) {
     it->second->TooLarge = true;
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -4,6 +4,7 @@
 #ifndef PERIDOTFALL_HTTP_CHANNEL_H
 #define PERIDOTFALL_HTTP_CHANNEL_H
 
+#include "http/answer_progress.h"
 #include "http/message.h"
 #include "http/pump.h"
 #include "peridotfall/limits.h"
@@ -16,7 +17,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace peridotfall::http {
@@ -43,8 +43,10 @@
   Channel &operator=(const Channel &) = delete;
 
   /// From any thread. The call back runs on the channel's loop, exactly once.
-  /// \param limit longest wait, connecting included.
+  /// \param limit longest wait for the whole answer, connecting included.
   void call(Request request, std::chrono::milliseconds limit, OnResult done);
+  /// The same with an answer that may be large.
+  void call(Request request, const AnswerLimits &limits, OnResult done);
   /// From any thread. Calls in flight fail.
   void close();
   /// From any thread: whether the connection was lost and is not made again.
@@ -65,8 +67,7 @@
     asio::steady_timer Timer;
     std::int32_t Stream = 0;
     bool TooLarge = false;
-    /// When the answer began.
-    std::optional<std::chrono::steady_clock::time_point> FirstByte;
+    AnswerProgress Progress;
 
     Transfer received() const;
   };
@@ -81,12 +82,15 @@
   static int onStreamClosed(nghttp2_session *, std::int32_t stream,
                             std::uint32_t code, void *self);
 
-  void begin(const CallPtr &call, std::chrono::milliseconds limit);
+  void begin(const CallPtr &call, const AnswerLimits &limits);
+  /// Gives the call up when its limits say so.
+  void startTimer(const CallPtr &call);
   void connect();
   void connected(std::error_code ec);
   void opened();
   SessionPtr makeSession();
   void submit(const CallPtr &call);
+  void noteReceived(const CallPtr &call);
   void expire(const CallPtr &call);
   void failWaiting(const std::string &why);
   void lost();
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -47,6 +47,16 @@
   auto operator<=>(const Transfer &) const = default;
 };
 
+/// How long a call waits whose answer may be large. An answer that is on its
+/// way is not silence: given up and asked for anew, it fills the link again.
+struct AnswerLimits {
+  std::chrono::milliseconds Begin{}; ///< Until the answer's first byte.
+  /// Without another byte. Zero: Begin is the limit of the whole answer.
+  std::chrono::milliseconds Stall{};
+
+  auto operator<=>(const AnswerLimits &) const = default;
+};
+
 struct Response {
   int Status = 200;
   Headers Fields;
--- a/src/proxy/copies.cpp
+++ b/src/proxy/copies.cpp
@@ -29,7 +29,7 @@
     return;
   NextAsk = now + limits::CopyPause;
   for (auto *it : Mirrors)
-    if (!it->isCurrent())
+    if (!it->isCurrent() && !Pending.contains(it->kind()))
       ask(*it);
 }
 
@@ -41,8 +41,10 @@
   auto body =
       messages::encode(messages::CopyRequest{mirror.kind(), mirror.revision()});
   const auto &address = Addresses[pick(Random)];
+  Pending.insert(mirror.kind());
   auto take = [this, &mirror, address,
                began = Time.now()](const http::CallResult &result) {
+    Pending.erase(mirror.kind());
     CallLine line{mirror.kind(), "copy", address,
                   result ? result.value().Received : result.error().Received,
                   Time.now() - began};
@@ -63,8 +65,8 @@
                       field("objects", copy.value().Objects.size()),
                       field("from", address)});
   };
-  Links.call(address, messages::CopyPath, std::move(body), limits::CopyLimit,
-             take);
+  Links.call(address, messages::CopyPath, std::move(body),
+             http::beginsWithin(limits::CopyLimit), take);
 }
 
 bool Copies::handle(const http::Request &request,
--- a/src/proxy/copies.h
+++ b/src/proxy/copies.h
@@ -13,6 +13,8 @@
 
 #include <functional>
 #include <random>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace peridotfall::proxy {
@@ -49,6 +51,7 @@
   const Clock &Time;
   std::mt19937_64 Random;
   std::vector<Mirror *> Mirrors;
+  std::set<std::string> Pending; ///< Kinds whose copy is asked for.
   std::vector<std::string> Addresses;
   TimePoint NextAsk{};
 };
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -42,7 +42,8 @@
 }
 
 void Channels::call(const std::string &address, const char *path,
-                    std::string body, milliseconds limit, http::OnResult done) {
+                    std::string body, const http::AnswerLimits &limits,
+                    http::OnResult done) {
   if (address.empty()) {
     asio::post(Loop, [done = std::move(done)] {
       done(http::TransportError{http::Failure::NotSent, "no address known"});
@@ -53,7 +54,7 @@
   request.Method = "POST";
   request.Path = path;
   request.Body = std::move(body);
-  to(address)->call(std::move(request), limit, std::move(done));
+  to(address)->call(std::move(request), limits, std::move(done));
 }
 
 void RelayClient::begin(const VmName &holder, LeaseId lease,
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -27,9 +27,8 @@
 class CallPort {
 public:
   virtual ~CallPort() = default;
-  /// \param limit longest wait for the whole answer.
   virtual void call(const std::string &address, const char *path,
-                    std::string body, milliseconds limit,
+                    std::string body, const http::AnswerLimits &limits,
                     http::OnResult done) = 0;
 };
 
@@ -42,7 +41,13 @@
   /// A silent connection stays silent; the next call makes its own.
   void drop(const std::string &address);
   void call(const std::string &address, const char *path, std::string body,
-            milliseconds limit, http::OnResult done) override;
+            const http::AnswerLimits &limits, http::OnResult done) override;
+  /// \param limit longest wait for the whole answer.
+  void call(const std::string &address, const char *path, std::string body,
+            milliseconds limit, http::OnResult done) {
+    call(address, path, std::move(body), http::wholeWithin(limit),
+         std::move(done));
+  }
 
 private:
   asio::io_context &Loop;
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -62,6 +62,7 @@
 class WatcherPort {
 public:
   virtual ~WatcherPort() = default;
+  /// \param limit until the answer begins.
   virtual void watch(const std::string &address,
                      const messages::WatchRequest &request, milliseconds limit,
                      OnWatchAnswer done) = 0;
--- a/src/proxy/watch_calls.cpp
+++ b/src/proxy/watch_calls.cpp
@@ -26,8 +26,8 @@
     done({answer ? std::optional(answer.value()) : std::nullopt,
           response.Received});
   };
-  Links.call(address, messages::WatchPath, messages::encode(request), limit,
-             std::move(take));
+  Links.call(address, messages::WatchPath, messages::encode(request),
+             http::beginsWithin(limit), std::move(take));
 }
 
 bool handleWatch(WatchHost &host, ProxyMetrics &counts,
--- a/tests/adapter/http_client_test.cpp
+++ b/tests/adapter/http_client_test.cpp
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "http/slow_relay.h"
+
 #include <array>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
@@ -146,3 +148,63 @@
   CHECK(statuses[0] == 200);
   CHECK(statuses[1] == 200);
 }
+
+namespace {
+
+/// Answers one call with a large body, on a thread of its own.
+struct LargeAnswerServer {
+  static constexpr std::size_t BodyBytes = 128 << 10;
+
+  LargeAnswerServer()
+      : Acceptor(Loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        Thread([this] {
+          auto socket = Acceptor.accept();
+          std::string in;
+          asio::read_until(socket, asio::dynamic_buffer(in), "\r\n\r\n");
+          std::error_code ignored; // The client may give up.
+          asio::write(socket,
+                      asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                   std::to_string(BodyBytes) + "\r\n\r\n" +
+                                   std::string(BodyBytes, 'x')),
+                      ignored);
+        }) {}
+  ~LargeAnswerServer() { Thread.join(); }
+
+  asio::io_context Loop;
+  tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+HttpAnswer callSlowly(peridotfall::testing::RelayOptions options,
+                      milliseconds limit) {
+  LargeAnswerServer server;
+  peridotfall::testing::SlowRelay relay(server.Acceptor.local_endpoint().port(),
+                                        options);
+  asio::io_context loop;
+  HttpClient client(loop, {asio::ip::address_v4::loopback(), relay.port()});
+  HttpCall call{"GET", "/", {}, "", limit, true};
+  HttpAnswer out;
+  client.call(call, [&](const HttpAnswer &it) { out = it; });
+  loop.run();
+  return out;
+}
+
+} // namespace
+
+// Guards against an answer on its way that is taken for silence.
+TEST_CASE("large answer of the store on a slow link, is received whole") {
+  auto it = callSlowly({}, milliseconds(300));
+  CHECK(it.Status == 200);
+  CHECK(it.Body.size() == LargeAnswerServer::BodyBytes);
+}
+
+// Guards against a connection that falls silent in the middle of an answer.
+TEST_CASE("large answer of the store that stalls, is given up before the limit "
+          "of its beginning") {
+  constexpr milliseconds Begin{20'000};
+  auto began = std::chrono::steady_clock::now();
+  auto it = callSlowly({.StallAfter = 16 << 10}, Begin);
+  CHECK(it.Status == 0);
+  CHECK(it.Received.Bytes > 0);
+  CHECK(std::chrono::steady_clock::now() - began < Begin);
+}
--- /dev/null
+++ b/tests/http/large_answer_test.cpp
@@ -0,0 +1,80 @@
+#include "http/answer_progress.h"
+#include "http/fixture.h"
+#include "http/slow_relay.h"
+
+#include <doctest/doctest.h>
+#include <memory>
+#include <string>
+
+using namespace peridotfall;
+using namespace peridotfall::http;
+using peridotfall::testing::RelayOptions;
+using peridotfall::testing::SlowRelay;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t LargeBody = 128 << 10;
+const SteadyTime Start{std::chrono::seconds(1'000)};
+
+/// A server whose answers come slowly.
+struct SlowAnswerFixture : ServerFixture {
+  CallResult callThrough(SlowRelay &relay, const AnswerLimits &limits) {
+    auto slow = std::make_shared<Channel>(Pool.next(), relay.address(),
+                                          ChannelOptions{});
+    auto promise = std::make_shared<std::promise<CallResult>>();
+    auto result = promise->get_future();
+    slow->call(post("/echo", std::string(LargeBody, 'x')), limits,
+               [promise](CallResult it) { promise->set_value(std::move(it)); });
+    auto out = result.get();
+    slow->close();
+    return out;
+  }
+};
+
+} // namespace
+
+TEST_CASE("answer that keeps coming, is waited for beyond the limit of its "
+          "beginning") {
+  constexpr milliseconds Begin{200};
+  constexpr milliseconds Piece{100};
+  AnswerProgress it(beginsWithin(Begin), Start);
+  CHECK(it.deadline() == Start + Begin);
+  for (auto at = Piece; at < 10 * Piece; at += Piece)
+    it.received(Start + at);
+  CHECK(it.deadline() == Start + 9 * Piece + limits::AnswerStall);
+}
+
+TEST_CASE("call with a limit on its whole answer, is given up then") {
+  constexpr milliseconds Whole{200};
+  AnswerProgress it(wholeWithin(Whole), Start);
+  it.received(Start + Whole / 2);
+  CHECK(it.deadline() == Start + Whole);
+}
+
+// Guards against an answer on its way that is taken for silence.
+TEST_CASE_FIXTURE(SlowAnswerFixture,
+                  "large answer between daemons on a slow link, is received "
+                  "whole") {
+  SlowRelay relay(Tested->port(), {});
+  auto it = callThrough(relay, beginsWithin(milliseconds(300)));
+  REQUIRE(it);
+  CHECK(it.value().Body.size() == LargeBody);
+  CHECK(it.value().Received.Bytes == LargeBody);
+  CHECK(it.value().Received.Took > milliseconds(300));
+}
+
+// Guards against a connection that falls silent in the middle of an answer.
+TEST_CASE_FIXTURE(
+    SlowAnswerFixture,
+    "large answer between daemons that stalls, is given up before "
+    "the limit of its beginning") {
+  constexpr milliseconds Begin{20'000};
+  SlowRelay relay(Tested->port(), RelayOptions{.StallAfter = 16 << 10});
+  auto began = std::chrono::steady_clock::now();
+  auto it = callThrough(relay, beginsWithin(Begin));
+  REQUIRE_FALSE(it);
+  CHECK(it.error().Kind == Failure::MaybeRun);
+  CHECK(it.error().Received.Bytes > 0);
+  CHECK(std::chrono::steady_clock::now() - began < Begin);
+}
