List the configuration after a loss, not each version since

What callers saw: a VM that is late with a large configuration falls further behind with each change, and may never know it again. Cause: the store's watch answers with every version since the revision asked for, each the whole text. 802,740 and 1,015,732 bytes were seen on one VM for a text of 244 KB; a client that takes no answer beyond 8 MB would never read one. Change: once a call had no answer, the configuration is listed, which answers with the last version. It stands in for a watch and is not hedged: as many calls as before. Its test failed before: nothing known after 10 s and 25.6 MB sent; with calls limited by progress 5.1 MB. Now less than two texts.

--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -47,7 +47,8 @@
 
 void Mirror::startTry() {
   ++Tries;
-  if (!Current)
+  // On a return the list stands in for a watch, which is not hedged either.
+  if (!Current && !(EverCurrent && Set.ListOnReturn))
     tryAgainAfter(limits::HedgeAfter);
   listPage(std::make_shared<Listing>(), "");
 }
@@ -204,6 +205,7 @@
   if (Current || Pause.failures() == 0)
     telemetry::log(Event::StoreLost, {field("kind", Set.Kind)});
   Current = false;
+  MustList = MustList || Set.ListOnReturn;
   tryAgainAfter(Pause.failed());
   endRefresh();
 }
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -135,6 +135,9 @@
   /// Objects that vanish around an outage of the store are kept until its
   /// writers had time to come back.
   bool KeepWhileAway = false;
+  /// After a loss the objects are listed: a watch would answer with each
+  /// version since. For a kind whose objects are few, large and often changed.
+  bool ListOnReturn = false;
   milliseconds WatchWait = limits::WatchWait;
   milliseconds ChangePause{0}; ///< Before the watch that follows a change.
   /// A copy that the store has not confirmed for so long is reported in the
--- a/tests/proxy/large_copies_test.cpp
+++ b/tests/proxy/large_copies_test.cpp
@@ -233,6 +233,7 @@
         Copy({.Kind = Kind,
               .Backoff = returnBackoff(1'000),
               .Seed = seed,
+              .ListOnReturn = true,
               .WatchWait = watchWait(Bound)},
              Watch, clock) {
     Host.add(Copy, true);
