Send large objects between daemons as the difference from what is held

What callers saw: configurations in force late (CONFIG), and statements late or refused, while a large configuration was passed on over links of 10 Mbit/s. Cause: two daemons of a failure domain send each version whole to all others, and a copy to whoever asks. 123 MB went between daemons for 13 versions of 244 KB, 12 of which differ from the one before in a number. Calls that had not begun were given up, probes and callers' answers waited behind the text. Ruled out: limits alone. With calls limited by progress 469 calls were still given up before an answer began, and 156 MB went between daemons. Change: who asks names the large objects that it holds; who answers keeps the last four versions that it sent and packs a Zstandard frame against the one that is held, or against none, once for all who ask. The frame has a checksum; an answer that builds on a copy changed meanwhile is not taken.

--- a/fuzz/lease_fuzz.cpp
+++ b/fuzz/lease_fuzz.cpp
@@ -16,6 +16,12 @@
     fuzz::require(decode(messages::encode(it.value())).has_value());
 }
 
+/// Holds one text under every name and revision.
+const std::string *findHeld(const messages::HeldObject &) {
+  static const std::string Text(1'000, 'x');
+  return &Text;
+}
+
 } // namespace
 
 void fuzz::runOne(const std::string &bytes) {
@@ -26,5 +32,11 @@
   checkRoundTrip(bytes, messages::decodeLeadQuestion);
   checkRoundTrip(bytes, messages::decodeLeadView);
   checkRoundTrip(bytes, messages::decodeCopyRequest);
-  checkRoundTrip(bytes, messages::decodeCopyAnswer);
+  checkRoundTrip(bytes, messages::decodeWatchRequest);
+  checkRoundTrip(bytes, [](const std::string &it) {
+    return messages::decodeCopyAnswer(it, findHeld);
+  });
+  checkRoundTrip(bytes, [](const std::string &it) {
+    return messages::decodeWatchAnswer(it, findHeld);
+  });
 }
--- a/src/proxy/copies.cpp
+++ b/src/proxy/copies.cpp
@@ -38,8 +38,8 @@
 /// random daemon is asked at a time, which spreads news over any number.
 void Copies::ask(Mirror &mirror) {
   std::uniform_int_distribution<std::size_t> pick(0, Addresses.size() - 1);
-  auto body =
-      messages::encode(messages::CopyRequest{mirror.kind(), mirror.revision()});
+  auto body = messages::encode(messages::CopyRequest{
+      mirror.kind(), mirror.revision(), largeObjects(mirror.objects()), true});
   const auto &address = Addresses[pick(Random)];
   Pending.insert(mirror.kind());
   auto take = [this, &mirror, address,
@@ -51,7 +51,8 @@
     countCopyBytes(Counts, line.Kind, CopyFlow::Received, line.Received.Bytes);
     logLarge(line);
     bool answered = result && result.value().Status == StatusOk;
-    auto copy = answered ? messages::decodeCopyAnswer(result.value().Body)
+    auto copy = answered ? messages::decodeCopyAnswer(result.value().Body,
+                                                      findIn(mirror))
                          : Result<messages::CopyAnswer>(Error{});
     if (!copy)
       telemetry::log(Event::StoreCallUnanswered,
@@ -78,13 +79,16 @@
     respond({StatusBad, {}, message.error().Message});
     return true;
   }
+  const auto &in = message.value();
   messages::CopyAnswer out;
   for (const auto *it : Mirrors)
-    if (it->kind() == message.value().Kind &&
-        it->revision() > message.value().NewerThan)
+    if (it->kind() == in.Kind && it->revision() > in.NewerThan)
       out = {it->revision(), it->objects()};
-  auto body = messages::encode(out);
-  countCopyBytes(Counts, message.value().Kind, CopyFlow::Sent, body.size());
+  messages::PackSpec pack;
+  if (in.TakesPacked)
+    pack = Packer.packerFor(in.Kind, in.Held);
+  auto body = messages::encode(out, pack);
+  countCopyBytes(Counts, in.Kind, CopyFlow::Sent, body.size());
   respond({StatusOk, {}, std::move(body)});
   return true;
 }
--- a/src/proxy/copies.h
+++ b/src/proxy/copies.h
@@ -9,6 +9,7 @@
 #include "peridotfall/membership.h"
 #include "proxy/metrics.h"
 #include "proxy/mirror.h"
+#include "proxy/object_packer.h"
 #include "proxy/relay.h"
 
 #include <functional>
@@ -32,9 +33,10 @@
 /// All calls on the loop.
 class Copies {
 public:
-  Copies(CallPort &calls, ProxyMetrics &counts, const Clock &clock,
-         std::uint64_t seed)
-      : Links(calls), Counts(counts), Time(clock), Random(seed) {}
+  Copies(CallPort &calls, ObjectPacker &packer, ProxyMetrics &counts,
+         const Clock &clock, std::uint64_t seed)
+      : Links(calls), Packer(packer), Counts(counts), Time(clock),
+        Random(seed) {}
 
   /// \param mirror outlives this.
   void add(Mirror &mirror) { Mirrors.push_back(&mirror); }
@@ -47,6 +49,7 @@
   void ask(Mirror &mirror);
 
   CallPort &Links;
+  ObjectPacker &Packer;
   ProxyMetrics &Counts;
   const Clock &Time;
   std::mt19937_64 Random;
--- /dev/null
+++ b/src/proxy/object_packer.cpp
@@ -0,0 +1,80 @@
+#include "proxy/object_packer.h"
+
+#include "messages/compression.h"
+#include "telemetry/events.h"
+
+#include <algorithm>
+
+namespace peridotfall::proxy {
+
+using messages::HeldObject;
+using messages::PackedSpec;
+using telemetry::Event;
+using telemetry::field;
+
+std::vector<HeldObject> largeObjects(const Objects &it) {
+  std::vector<HeldObject> out;
+  for (const auto &[name, object] : it)
+    if (object.Spec.size() >= limits::LeastPacked)
+      out.push_back({name, object.Revision});
+  return out;
+}
+
+messages::FindHeld findIn(const Mirror &mirror) {
+  return [&mirror](const HeldObject &it) -> const std::string * {
+    auto object = mirror.objects().find(it.Name);
+    bool isHeld = object != mirror.objects().end() &&
+                  object->second.Revision == it.Revision;
+    return isHeld ? &object->second.Spec : nullptr;
+  };
+}
+
+messages::PackSpec ObjectPacker::packerFor(std::string kind,
+                                           std::vector<HeldObject> held) {
+  return [this, kind = std::move(kind), held = std::move(held)](
+             const StoredObject &it) { return pack(kind, it, held); };
+}
+
+void ObjectPacker::note(Sent &sent, const StoredObject &object) {
+  if (!sent.Versions.empty() &&
+      sent.Versions.back().Revision == object.Revision)
+    return;
+  sent.Frames.clear();
+  sent.Versions.push_back({object.Revision, object.Spec});
+  if (sent.Versions.size() > limits::KeptVersions)
+    sent.Versions.pop_front();
+}
+
+const ObjectPacker::Version *
+ObjectPacker::findBase(const Sent &sent, const std::string &name,
+                       const std::vector<HeldObject> &held) {
+  for (const auto &it : sent.Versions)
+    if (std::find(held.begin(), held.end(), HeldObject{name, it.Revision}) !=
+        held.end())
+      return &it;
+  return nullptr;
+}
+
+std::optional<PackedSpec>
+ObjectPacker::pack(const std::string &kind, const StoredObject &object,
+                   const std::vector<HeldObject> &held) {
+  if (object.Deleted || object.Spec.size() < limits::LeastPacked)
+    return std::nullopt;
+  auto &sent = All[{kind, object.Name}];
+  note(sent, object);
+  const auto *base = findBase(sent, object.Name, held);
+  auto against = base ? base->Revision : 0;
+  auto known = sent.Frames.find(against);
+  if (known != sent.Frames.end())
+    return known->second;
+  auto frame = messages::compress(object.Spec, base ? base->Spec : "");
+  if (!frame) {
+    telemetry::log(Event::ObjectNotPacked,
+                   {field("kind", kind), field("name", object.Name),
+                    field("why", frame.error().Message)});
+    return std::nullopt;
+  }
+  return sent.Frames[against] = PackedSpec{std::move(frame.value()), against};
+}
+
+} // namespace peridotfall::proxy
--- a/src/proxy/watch_calls.h
+++ b/src/proxy/watch_calls.h
@@ -6,9 +6,13 @@
 
 #include "http/message.h"
 #include "proxy/metrics.h"
+#include "proxy/object_packer.h"
 #include "proxy/relay.h"
 #include "proxy/shared_watch.h"
 
+#include <map>
+#include <string>
+
 namespace peridotfall::proxy {
 
 /// All calls on the loop.
@@ -16,16 +20,29 @@
 public:
   explicit WatchCalls(CallPort &calls) : Links(calls) {}
 
+  /// Large objects of its kind are received as the difference from its copy.
+  /// \param mirror outlives this.
+  void add(const Mirror &mirror) { Mirrors[mirror.kind()] = &mirror; }
+
   void watch(const std::string &address, const messages::WatchRequest &request,
              milliseconds limit, OnWatchAnswer done) override;
 
 private:
   CallPort &Links;
+  std::map<std::string, const Mirror *> Mirrors;
+};
+
+/// What answering the watches of other daemons needs.
+struct WatchService {
+  WatchHost &Host;
+  ObjectPacker &Packer;
+  ProxyMetrics &Counts;
 };
 
+/// \param service its parts outlive the answer.
 /// \return whether the path is of this protocol.
-bool handleWatch(WatchHost &host, ProxyMetrics &counts,
-                 const http::Request &request, const http::Respond &respond);
+bool handleWatch(const WatchService &service, const http::Request &request,
+                 const http::Respond &respond);
 
 } // namespace peridotfall::proxy
 
--- a/tests/proxy/large_copies_test.cpp
+++ b/tests/proxy/large_copies_test.cpp
@@ -229,7 +229,7 @@
         Calls(links, self.InnerAddress, std::move(handle), clock),
         WatchLinks(Calls), Host(clock),
         Watch(Store, WatchLinks, Kind, freshFor(Bound), clock),
-        Handed(Calls, Counts, clock, seed),
+        Handed(Calls, Packer, Counts, clock, seed),
         Copy({.Kind = Kind,
               .Backoff = returnBackoff(1'000),
               .Seed = seed,
@@ -237,6 +237,7 @@
               .WatchWait = watchWait(Bound)},
              Watch, clock) {
     Host.add(Copy, true);
+    WatchLinks.add(Copy);
     Handed.add(Copy);
     Watch.takeMembers(Self.Vm, Here, live);
     Handed.takeMembers(Self.Vm, live);
@@ -244,7 +245,7 @@
   }
   void handle(const http::Request &request, const http::Respond &respond) {
     if (!Handed.handle(request, respond))
-      handleWatch(Host, Counts, request, respond);
+      handleWatch({Host, Packer, Counts}, request, respond);
   }
   void tick() {
     Store.tick();
@@ -258,6 +259,7 @@
   ProxyMetrics Counts = makeProxyMetrics();
   LinkedStore Store;
   LinkedCalls Calls;
+  ObjectPacker Packer;
   WatchCalls WatchLinks;
   WatchHost Host;
   SharedWatch Watch;
