Count a copy's age from the beginning of its transfer

What callers would see: a configuration or a leaving target known later than the bound, on a VM that counts as current. Change: the time of the transfer is added to the age, for lists, watches and watches through another daemon. Its test failed before: age 0 after a transfer of over 3 s.

--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -74,8 +74,10 @@
   }
   // Objects of earlier pages may have changed since: the watch goes on from
   // the first page.
-  if (listing->All.empty())
+  if (listing->All.empty()) {
     listing->Revision = page.Revision;
+    listing->ConfirmedAt = Time.now() - page.Age;
+  }
   std::string last;
   for (auto &it : page.Objects) {
     last = it.Name;
@@ -95,7 +97,7 @@
   if (!EverCurrent)
     DeletionsSince = listing.Revision;
   Revision = listing.Revision;
-  regained(Duration{});
+  regained(listing.ConfirmedAt);
   MustList = false;
   auto before = std::exchange(Copy, std::move(listing.All));
   Vanished.clear();
@@ -149,7 +151,7 @@
     lost();
     return;
   }
-  regained(changes.Age);
+  regained(Time.now() - changes.Age);
   Revision = std::max(Revision, changes.Revision);
   for (const auto &it : changes.Objects) {
     if (it.Deleted) {
@@ -213,8 +215,8 @@
 /// Load: an outage of the store in which the entries of live targets lapse.
 /// Harm: on its return no target is known, and everything is refused. The
 /// writers come back within a known time; an entry missing after it is gone.
-void Mirror::regained(Duration age) {
-  ConfirmedAt = std::max(ConfirmedAt, Time.now() - age);
+void Mirror::regained(TimePoint confirmedAt) {
+  ConfirmedAt = std::max(ConfirmedAt, confirmedAt);
   auto failures = Pause.failures();
   Pause.succeeded();
   if (Current)
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -181,6 +181,7 @@
   struct Listing {
     Objects All;
     std::uint64_t Revision = 0; ///< Of the first page.
+    TimePoint ConfirmedAt{};    ///< The same.
   };
   using ListingPtr = std::shared_ptr<Listing>;
 
@@ -192,7 +193,7 @@
   void watchOn();
   void takeChanges(const ObjectChanges &changes);
   void lost();
-  void regained(Duration age);
+  void regained(TimePoint confirmedAt);
   void reportAge(TimePoint now);
   void remove(const std::string &name);
   void noteDeletion(const std::string &name, std::uint64_t revision);
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -81,7 +81,7 @@
   if (OnReceived)
     OnReceived(kind, page.Received.Bytes);
   if (answered) {
-    FreshAt[kind] = Time.now();
+    FreshAt[kind] = Time.now() - page.Age;
     logLarge(line);
   } else
     noteUnanswered(line);
@@ -93,6 +93,7 @@
                        milliseconds limit, OnPage done) {
   Store.list(kind, after, limit,
              [this, kind, began = Time.now(), done](ObjectPage page) {
+               page.Age = page.Received.Took;
                noteStore(kind, "list", began, page);
                done(std::move(page));
              });
@@ -117,6 +118,7 @@
                              milliseconds wait, OnChanges done) {
   Store.watch(kind, revision, storeWait(kind, wait),
               [this, kind, began = Time.now(), done](ObjectChanges changes) {
+                changes.Age = changes.Received.Took;
                 noteStore(kind, "watch", began, changes);
                 done(std::move(changes));
               });
@@ -154,10 +156,10 @@
     if (OnReceived)
       OnReceived(kind, reply.Received.Bytes);
     if (it && it->Changes.Outcome != ReadOutcome::Unavailable) {
-      FreshAt[kind] = std::max(FreshAt[kind], Time.now() - it->Age);
-      logLarge(line);
       auto changes = it->Changes;
-      changes.Age = it->Age;
+      changes.Age = it->Age + reply.Received.Took;
+      FreshAt[kind] = std::max(FreshAt[kind], Time.now() - changes.Age);
+      logLarge(line);
       done(changes);
       return;
     }
--- a/tests/proxy/large_copies_test.cpp
+++ b/tests/proxy/large_copies_test.cpp
@@ -381,6 +381,21 @@
         1.5 * static_cast<double>(Objects.Versions.back().Spec.size()));
 }
 
+// Guards against a copy that counts as new as the end of its transfer.
+TEST_CASE_FIXTURE(NarrowLinksFixture,
+                  "large copy over a slow link, is as old as its answer's "
+                  "beginning") {
+  constexpr std::size_t Alone = 1;
+  constexpr milliseconds LeastTransfer{3'000};
+  start(Alone);
+  const auto &copy = All[0]->Copy;
+  Links.widen(All[0]->Self.InnerAddress, NarrowLink / 10);
+  put(ManyRoutes, 1'000);
+  while (copy.revision() < Objects.revision())
+    pass(Step);
+  CHECK(Time.now() - copy.confirmedAt() >= LeastTransfer);
+}
+
 // Guards against a daemon that is sent each version that it missed.
 TEST_CASE_FIXTURE(NarrowLinksFixture,
                   "daemon cut off while a large configuration changes, is sent "
