Ask for no list beside one that is on its way

Change: a list is asked for beside one that hangs, not beside one whose answer has begun. Its test failed before: four lists in place of one.

--- a/src/proxy/mirror.cpp
+++ b/src/proxy/mirror.cpp
@@ -252,6 +252,8 @@
     NextTry.reset();
     if (!MustList)
       watchOn();
+    else if (Tries > 0 && Source.isReceiving(Set.Kind))
+      tryAgainAfter(limits::HedgeAfter);
     else if (Tries < limits::MostLists)
       startTry();
   }
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -110,6 +110,8 @@
                     std::chrono::milliseconds limit, OnPage done) = 0;
   virtual void watch(const std::string &kind, std::uint64_t revision,
                      std::chrono::milliseconds wait, OnChanges done) = 0;
+  /// \return whether an answer about the kind is on its way.
+  virtual bool isReceiving(const std::string &) const { return false; }
 };
 
 /// Load: all daemons come back to the store at once after an outage. Harm: its
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -101,6 +101,9 @@
             milliseconds limit, OnPage done) override;
   void watch(const std::string &kind, std::uint64_t revision, milliseconds wait,
              OnChanges done) override;
+  bool isReceiving(const std::string &kind) const override {
+    return Store.isReceiving(kind);
+  }
 
 private:
   const Member *nextWatcher(TimePoint now) const;
--- a/tests/proxy/mirror_test.cpp
+++ b/tests/proxy/mirror_test.cpp
@@ -24,7 +24,9 @@
     Wait = wait;
     Watch = std::move(done);
   }
+  bool isReceiving(const std::string &) const override { return Receiving; }
 
+  bool Receiving = false;
   std::vector<std::string> After;
   std::vector<OnPage> Lists;
   OnChanges Watch;
@@ -137,6 +139,19 @@
   CHECK(Source.Lists.size() == limits::MostLists);
 }
 
+// Guards against lists that fill a link beside the one that is on its way.
+TEST_CASE_FIXTURE(MirrorFixture,
+                  "list on its way, none is asked for beside it until it has "
+                  "failed") {
+  Source.Receiving = true;
+  pass(std::chrono::seconds(5));
+  CHECK(Source.Lists.size() == 1);
+  Source.Receiving = false;
+  Source.Lists[0]({});
+  pass(std::chrono::seconds(1));
+  CHECK(Source.Lists.size() > 1);
+}
+
 // Requests are handled by an old configuration, seconds after the store is
 // back. A watch that is sent into the outage is never answered; so it may
 // wait only for a short time while the store is lost.
