Let daemons on wide links watch the store for the others

What callers saw, on a trial of our own: after all VMs had lost power, configurations over 4 s late and statements refused, where 66 of 78 VMs have links of 10 Mbit/s. Cause: the two daemons of a failure domain that watch for the others were chosen by hash alone, so mostly on narrow links. Each change comes in there whole from the store and goes out to all others, beside the callers' answers. Change: a daemon says how wide its link is (from the settings, as the platform tells it), in its object and its probes; the widest rank first, equal ones by hash as before. A daemon of an earlier version says nothing and ranks last. Its test failed before: daemons on narrow links watched.

--- a/include/peridotfall/membership.h
+++ b/include/peridotfall/membership.h
@@ -30,6 +30,8 @@
   bool Leaving = false;
   /// A VM of a target, which the platform lists too; it runs no daemon.
   bool ServesTarget = false;
+  /// Megabits a second of the VM's link; 0: not known.
+  std::uint32_t LinkMbps = 0;
 
   auto operator<=>(const Member &) const = default;
 };
--- a/src/messages/news.cpp
+++ b/src/messages/news.cpp
@@ -16,6 +16,7 @@
   out->set_incarnation(it.Incarnation);
   out->set_leaving(it.Leaving);
   out->set_serves_target(it.ServesTarget);
+  out->set_link_mbps(it.LinkMbps);
 }
 
 Member take(const inner::PeerState &in) {
@@ -27,6 +28,7 @@
   it.Incarnation = in.incarnation();
   it.Leaving = in.leaving();
   it.ServesTarget = in.serves_target();
+  it.LinkMbps = in.link_mbps();
   return it;
 }
 
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -28,6 +28,11 @@
     return {};
   auto watchers =
       rankOwners(near, TargetName("watch of the store"), domain, RegionName());
+  // Each change goes out over their links once for each of the others.
+  std::stable_sort(watchers.begin(), watchers.end(),
+                   [](const Member &left, const Member &right) {
+                     return left.LinkMbps > right.LinkMbps;
+                   });
   if (watchers.size() > limits::WatchersOfDomain)
     watchers.resize(limits::WatchersOfDomain);
   if (std::any_of(watchers.begin(), watchers.end(),
--- a/tests/adapter/entries_test.cpp
+++ b/tests/adapter/entries_test.cpp
@@ -99,6 +99,10 @@
   member.Region = RegionName("tartu");
   member.InnerAddress = "10.1.0.8:7440";
   member.Incarnation = 7;
+  member.LinkMbps = 10;
   CHECK(parseDaemon({"vm", formatDaemon(member), 3, false}).value() == member);
   CHECK_FALSE(parseDaemon({"vm", "{}", 3, false}));
+  const char *earlier = R"({"domain":"press","region":"tartu",
+      "address":"10.1.0.8:7440","incarnation":7})";
+  CHECK(parseDaemon({"vm", earlier, 3, false}).value().LinkMbps == 0);
 }
--- a/tests/adapter/settings_test.cpp
+++ b/tests/adapter/settings_test.cpp
@@ -49,6 +49,15 @@
   CHECK(it.value().Regions.at(DomainName("tallinn-desk")).Value == "tallinn");
 }
 
+TEST_CASE("settings, with the bandwidth of the link, are read") {
+  auto it = parseSettings(Whole + "limits:\n  bandwidth_mbps: 10.0\n");
+  REQUIRE(it);
+  CHECK(it.value().LinkMbps == 10);
+  CHECK(memberOf(it.value(), 1).LinkMbps == 10);
+  CHECK(parseSettings(Whole).value().LinkMbps == 0);
+  CHECK_FALSE(parseSettings(Whole + "limits:\n  bandwidth_mbps: wide\n"));
+}
+
 TEST_CASE("settings, several fields wrong, are all reported with their place") {
   auto text = without("node_name: \"frontend-tartu-press-1\"\n");
   text.replace(text.find("\"10.1.0.8:8784\""), 15, "\"somewhere\"");
--- a/tests/proxy/shared_watch_test.cpp
+++ b/tests/proxy/shared_watch_test.cpp
@@ -166,6 +166,23 @@
   CHECK(planWatches(live[0].Vm, Here, membersOf(3)).Ask.empty());
 }
 
+// Guards against copies that leave over the narrowest links of a domain.
+TEST_CASE(
+    "failure domain with links of two widths, daemons on wide links watch "
+    "for the others") {
+  auto live = membersOf(13);
+  for (auto &it : live)
+    it.LinkMbps = 10;
+  live[3].LinkMbps = 200;
+  live[9].LinkMbps = 200;
+  for (std::size_t n = 0; n < live.size(); ++n)
+    CHECK(planWatches(live[n].Vm, Here, live).ForOthers == (n == 3 || n == 9));
+  live[3].Leaving = true;
+  CHECK(planWatches(live[9].Vm, Here, live).ForOthers);
+  CHECK(planWatches(live[0].Vm, Here, live).Ask.size() ==
+        limits::WatchersOfDomain);
+}
+
 // Load: all daemons watch the store, whose calls are few. A change reaches the
 // one that asks at once, without a call of its own.
 TEST_CASE_FIXTURE(SharedWatchFixture,
