Limit calls of the own interface for whole configurations by their progress

What callers would see: a configuration or a list of VMs never known on a daemon behind a narrow link. Cause: a fetch from another daemon had 0.8 s, a read of the platform 2 s, for the whole answer. A configuration of 2,800 databases is 3 MB: 2.4 s on 10 Mbit/s. Change: fetches, reads, watches and lists are limited by their answer's beginning and by a stall. Probes and announcements are small and keep a limit on the whole. The fetch between daemons takes the same path of the channel, which has a test; it has none of its own.

--- a/src/daemon/configuration_relay.cpp
+++ b/src/daemon/configuration_relay.cpp
@@ -131,14 +131,15 @@
 }
 
 void ConfigurationRelay::call(const std::string &address, const char *path,
-                              std::string body, milliseconds limit,
+                              std::string body,
+                              const http::AnswerLimits &limits,
                               http::OnResult done) {
   http::Request request;
   request.Method = "POST";
   request.Path = path;
   request.Body = std::move(body);
   Peers.channel(address)->call(
-      std::move(request), limit,
+      std::move(request), limits,
       [self = shared_from_this(), done = std::move(done)](http::CallResult it) {
         self->post([done, it = std::move(it)] { done(it); });
       });
@@ -153,7 +154,7 @@
     return records;
   });
   call(member.InnerAddress, messages::NewsPath,
-       messages::encode(makeNews(told)), NewsLimit,
+       messages::encode(makeNews(told)), http::wholeWithin(NewsLimit),
        [this, member](const http::CallResult &result) {
          auto news = result && result.value().Status == http::StatusOk
                          ? messages::decodeNews(result.value().Body)
@@ -227,7 +228,7 @@
 void ConfigurationRelay::fetchConfiguration(const std::string &address,
                                             bool spread, const Done &done) {
   ConfigurationFlight.Busy = true;
-  call(address, messages::ConfigurationPath, "", FetchLimit,
+  call(address, messages::ConfigurationPath, "", http::beginsWithin(FetchLimit),
        [this, spread, address, done](const http::CallResult &result) {
          auto config = result && result.value().Status == http::StatusOk
                            ? messages::decodeConfiguration(result.value().Body)
@@ -245,7 +246,7 @@
 void ConfigurationRelay::fetchList(const std::string &address,
                                    const Done &done) {
   ListFlight.Busy = true;
-  call(address, messages::MembersPath, "", FetchLimit,
+  call(address, messages::MembersPath, "", http::beginsWithin(FetchLimit),
        [this, done](const http::CallResult &result) {
          if (result && result.value().Status == http::StatusOk) {
            auto list = messages::decodeVmList(result.value().Body);
@@ -320,7 +321,8 @@
 
 void ConfigurationRelay::send(const Member &child, const messages::News &news) {
   call(child.InnerAddress, messages::NewsPath, messages::encode(news),
-       NewsLimit, [this, child, news](const http::CallResult &result) {
+       http::wholeWithin(NewsLimit),
+       [this, child, news](const http::CallResult &result) {
          // Failure: an inner node of the tree is dead or cut off. Symptom: all
          // below it wait for a comparison with a peer. Telling its children in
          // its place suffices, since the tree is known to all.
--- a/src/daemon/configuration_relay.h
+++ b/src/daemon/configuration_relay.h
@@ -79,7 +79,7 @@
   void send(const Member &child, const messages::News &news);
   bool firstTime(std::uint64_t treeId);
   void call(const std::string &address, const char *path, std::string body,
-            std::chrono::milliseconds limit, http::OnResult done);
+            const http::AnswerLimits &limits, http::OnResult done);
 
   asio::io_context &Loop;
   asio::steady_timer Timer;
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -95,7 +95,8 @@
   auto limit = options.CallLimit;
   Api api;
   api.Get = [channel, limit](const std::string &key, OnObject done) {
-    channel->call(makeRequest("GET", "/objects/" + key), limit,
+    channel->call(makeRequest("GET", "/objects/" + key),
+                  http::beginsWithin(limit),
                   [done = std::move(done)](const http::CallResult &it) {
                     done(readObject(it));
                   });
@@ -115,12 +116,13 @@
     channel->call(
         makeRequest("GET", fmt::format("/watch/{}?after={}&wait_ms={}", key,
                                        after, wait.count())),
-        wait + limit, [done = std::move(done)](const http::CallResult &it) {
+        http::beginsWithin(wait + limit),
+        [done = std::move(done)](const http::CallResult &it) {
           done(readObject(it));
         });
   };
   api.ListVms = [channel, limit](OnMembers done) {
-    channel->call(makeRequest("GET", "/vms"), limit,
+    channel->call(makeRequest("GET", "/vms"), http::beginsWithin(limit),
                   [done = std::move(done)](const http::CallResult &it) {
                     done(readMembers(it));
                   });
