--- a/src/http/message.h
+++ b/src/http/message.h
@@ -47,8 +47,8 @@
   auto operator<=>(const Transfer &) const = default;
 };
 
-/// How long a call waits whose answer may be large. An answer that is on its
-/// way is not silence: given up and asked for anew, it fills the link again.
+/// How long an answer is waited for. A large one that is on its way is not
+/// silence: given up and asked for anew, it fills the link again.
 struct AnswerLimits {
   std::chrono::milliseconds Begin{}; ///< Until the answer's first byte.
   /// Without another byte. Zero: Begin is the limit of the whole answer.
