--- a/tests/proxy/large_copies_test.cpp
+++ b/tests/proxy/large_copies_test.cpp
@@ -1,5 +1,6 @@
 #include "proxy/copies.h"
 #include "proxy/link_model.h"
+#include "proxy/members.h"
 #include "proxy/shared_watch.h"
 #include "proxy/watch_calls.h"
 
@@ -12,7 +13,9 @@
 
 using namespace peridotfall;
 using namespace peridotfall::proxy;
+using peridotfall::testing::Here;
 using peridotfall::testing::LinkModel;
+using peridotfall::testing::membersOf;
 
 namespace {
 
@@ -25,7 +28,6 @@
 constexpr double StoreLink = 1'000e6 / 8;
 constexpr std::size_t FewRoutes = 70;
 constexpr std::size_t ManyRoutes = 1'470;
-const DomainName Here("here");
 
 /// A text like an operator's: names without a pattern, few other values.
 std::string configurationText(std::size_t routes, unsigned idleMillis) {
@@ -50,14 +52,6 @@
   return out + "]}";
 }
 
-Member memberOf(std::size_t n) {
-  Member it;
-  it.Vm = VmName("vm-" + std::to_string(n));
-  it.Domain = Here;
-  it.InnerAddress = it.Vm.Value;
-  return it;
-}
-
 /// The store's one object, and all that has become of it.
 struct History {
   std::vector<StoredObject> Versions;
@@ -280,9 +274,7 @@
     Objects.put(configurationText(FewRoutes, 500), Time.now());
   }
   void start(std::size_t daemons) {
-    std::vector<Member> live;
-    for (std::size_t n = 0; n < daemons; ++n)
-      live.push_back(memberOf(n));
+    auto live = membersOf(daemons);
     auto handle = [this](const std::string &address,
                          const http::Request &request, http::Respond respond) {
       for (auto &it : All)
--- a/tests/proxy/link_model.h
+++ b/tests/proxy/link_model.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace peridotfall::testing {
@@ -37,6 +38,14 @@
   LinkModel(double bytesPerSecond, const Clock &clock)
       : Rate(bytesPerSecond), Time(clock) {}
 
+  /// Who waits for a flow often holds it too.
+  ~LinkModel() {
+    for (const auto &it : Flows)
+      it->Done = nullptr;
+  }
+  LinkModel(const LinkModel &) = delete;
+  LinkModel &operator=(const LinkModel &) = delete;
+
   /// Sets the rate of one machine's link.
   void widen(const std::string &machine, double bytesPerSecond) {
     Rates[machine] = bytesPerSecond;
@@ -51,7 +60,10 @@
     return Flows.back();
   }
   /// What has not arrived is lost.
-  void cancel(const FlowPtr &it) { std::erase(Flows, it); }
+  void cancel(const FlowPtr &it) {
+    it->Done = nullptr;
+    std::erase(Flows, it);
+  }
   /// \return bytes that \p machine was given to send.
   double sent(const std::string &machine) const {
     auto it = Sent.find(machine);
@@ -85,7 +97,7 @@
     Flows.erase(whole, Flows.end());
     for (const auto &it : done) {
       it->Left = 0;
-      it->Done();
+      std::exchange(it->Done, nullptr)();
     }
   }
 
--- a/tests/proxy/shared_watch_test.cpp
+++ b/tests/proxy/shared_watch_test.cpp
@@ -1,5 +1,7 @@
 #include "proxy/shared_watch.h"
 
+#include "proxy/members.h"
+
 #include <doctest/doctest.h>
 #include <memory>
 #include <optional>
@@ -7,6 +9,8 @@
 
 using namespace peridotfall;
 using namespace peridotfall::proxy;
+using peridotfall::testing::Here;
+using peridotfall::testing::membersOf;
 
 namespace {
 
@@ -14,20 +18,6 @@
 /// Within which a configuration must be in force.
 constexpr milliseconds ConfigurationLimit{3'000};
 const milliseconds Fresh = freshFor(ConfigurationLimit);
-const DomainName Here("here");
-
-std::vector<Member> membersOf(std::size_t n) {
-  std::vector<Member> out;
-  for (std::size_t i = 0; i < n; ++i) {
-    Member it;
-    it.Vm = VmName("vm-" + std::to_string(i));
-    it.Domain = Here;
-    it.InnerAddress = it.Vm.Value;
-    out.push_back(it);
-  }
-  return out;
-}
-
 /// The store, with one object that the test changes. A watch that it does not
 /// answer is passed over.
 struct FakeStore final : ObjectSource {
--- a/tests/proxy/store_outage_test.cpp
+++ b/tests/proxy/store_outage_test.cpp
@@ -1,5 +1,7 @@
 #include "proxy/shared_watch.h"
 
+#include "proxy/members.h"
+
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <memory>
@@ -7,28 +9,14 @@
 
 using namespace peridotfall;
 using namespace peridotfall::proxy;
+using peridotfall::testing::Here;
+using peridotfall::testing::membersOf;
 
 namespace {
 
 constexpr auto Kind = "configuration";
-const DomainName Here("here");
 constexpr milliseconds Step{20};
 
-Member memberOf(std::size_t n) {
-  Member it;
-  it.Vm = VmName("vm-" + std::to_string(n));
-  it.Domain = Here;
-  it.InnerAddress = it.Vm.Value;
-  return it;
-}
-
-std::vector<Member> membersOf(std::size_t n) {
-  std::vector<Member> out;
-  for (std::size_t i = 0; i < n; ++i)
-    out.push_back(memberOf(i));
-  return out;
-}
-
 /// The store as one daemon reaches it. What is under way when it falls silent,
 /// and what comes while it is, is never answered.
 class SilentStore final : public ObjectSource {
