--- a/tests/http/slow_relay.h
+++ b/tests/http/slow_relay.h
@@ -10,6 +10,7 @@
 #include <asio/write.hpp>
 #include <chrono>
 #include <cstdint>
+#include <future>
 #include <limits>
 #include <string>
 #include <thread>
@@ -31,12 +32,14 @@
         There(Loop), Here(Loop), Thread([this, serverPort] {
           Acceptor.accept(Here);
           There.connect({asio::ip::address_v4::loopback(), serverPort});
+          Connected.set_value();
           std::thread requests([this] { passRequests(); });
           passAnswers();
           requests.join();
         }) {}
-  /// Both sides are to have closed the connection, or are closed here.
+  /// Ends the connection, which must have been made.
   ~SlowRelay() {
+    Connected.get_future().wait();
     std::error_code ignored; // It may be closed already.
     Here.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     There.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -77,6 +80,7 @@
   asio::ip::tcp::acceptor Acceptor;
   asio::ip::tcp::socket There;
   asio::ip::tcp::socket Here;
+  std::promise<void> Connected; ///< From here on the sockets stay as they are.
   std::thread Thread;
 };
 
