--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,5 +14,5 @@
 files '*.h' '*.cpp' | xargs -r clang-format --dry-run --Werror
 # The example builds against the installed library, outside this build.
 files '*.cpp' | grep -v '^examples/' | xargs -r -P "$(nproc)" -n 1 \
-  clang-tidy -p $build --quiet 2> >(grep -v 'warnings generated' >&2)
+  scripts/tidy.py $build 2> >(grep -v 'warnings generated' >&2)
 echo "format and lint: clean"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,5 +8,5 @@
   echo "== $preset"
   cmake --preset "$preset" >/dev/null
   cmake --build --preset "$preset" -- --quiet
-  ctest --test-dir "build/$preset" --output-on-failure
+  ctest --test-dir "build/$preset" -j "$(nproc)" --output-on-failure
 done
