--- a/src/proxy/object_cache.cpp
+++ b/src/proxy/object_cache.cpp
@@ -34,13 +34,65 @@
     : Options(std::move(options)), Source(source), Time(clock),
       Pause(Options.Backoff, Options.Seed), ConfirmedAt(clock.now()) {}
 
-void ObjectCache::start() { refresh(); }
+void ObjectCache::start() { resync(); }
+
+void ObjectCache::resync() {
+  if (!RefreshCallbacks.empty()) {
+    refresh();
+    return;
+  }
+  ++Round;
+  MustList = true;
+  SharedPending = false;
+  ListsPending = 0;
+  NextAttempt.reset();
+  startResync();
+}
+
+void ObjectCache::startResync() {
+  SharedPending = true;
+  bool begun =
+      Source.watchShared(Options.Kind, Revision, limits::OutageWatchWait,
+                         [this, round = Round](const ObjectChanges &changes) {
+                           if (round == Round)
+                             handleSharedChanges(changes);
+                         });
+  if (!begun) {
+    SharedPending = false;
+    listIfDue();
+  } else if (SharedPending && !EverCurrent)
+    retryAfter(limits::HedgeDelay);
+}
+
+void ObjectCache::handleSharedChanges(const ObjectChanges &changes) {
+  SharedPending = false;
+  if (changes.Outcome != ReadOutcome::Done) {
+    listIfDue();
+    return;
+  }
+  // Answers of pending lists may be older.
+  ++Round;
+  ListsPending = 0;
+  NextAttempt.reset();
+  MustList = false;
+  if (!EverCurrent)
+    DeletionsSince = changes.Revision;
+  handleChanges(changes);
+}
+
+void ObjectCache::listIfDue() {
+  if (Source.isStoreCallDue(Options.Kind))
+    startList();
+  else
+    handleUnavailable();
+}
 
 void ObjectCache::refresh(std::function<void()> done) {
   if (done)
     RefreshCallbacks.push_back(std::move(done));
   ++Round;
   MustList = true;
+  SharedPending = false;
   ListsPending = 0;
   NextAttempt.reset();
   startList();
@@ -92,8 +144,9 @@
 }
 
 void ObjectCache::handleList(Listing listing) {
-  // Answers of other pending lists are ignored.
+  // Answers of other pending calls are ignored.
   ++Round;
+  SharedPending = false;
   ListsPending = 0;
   NextAttempt.reset();
   if (!EverCurrent)
@@ -186,12 +239,14 @@
 ObjectChanges ObjectCache::changesSince(std::uint64_t revision) const {
   ObjectChanges out;
   out.Outcome = ReadOutcome::Gone;
-  if (revision < DeletionsSince)
+  // Who has nothing needs no deletions.
+  bool wantsAll = revision == 0;
+  if (!wantsAll && revision < DeletionsSince)
     return out;
   out.Outcome = ReadOutcome::Done;
   out.Revision = Revision;
   for (const auto &[name, deleted] : Deletions)
-    if (deleted > revision)
+    if (!wantsAll && deleted > revision)
       out.Objects.push_back({name, "", deleted, true});
   // A recreated object comes after the deletion of its name.
   for (const auto &[name, it] : Cached)
@@ -259,6 +314,10 @@
       startWatch();
     else if (ListsPending > 0 && Source.isReceiving(Options.Kind))
       retryAfter(limits::HedgeDelay);
+    else if (ListsPending == 0 && SharedPending)
+      listIfDue();
+    else if (ListsPending == 0)
+      startResync();
     else if (ListsPending < limits::MaxParallelLists)
       startList();
   }
--- a/src/proxy/object_cache.h
+++ b/src/proxy/object_cache.h
@@ -111,6 +111,15 @@
                     std::chrono::milliseconds limit, OnPage done) = 0;
   virtual void watch(const std::string &kind, std::uint64_t revision,
                      std::chrono::milliseconds wait, OnChanges done) = 0;
+  /// Watches at another daemon. Revision 0 requests all objects.
+  /// \return false, and calls nothing, if no other daemon can be called.
+  virtual bool watchShared(const std::string &, std::uint64_t,
+                           std::chrono::milliseconds, const OnChanges &) {
+    return false;
+  }
+  /// \return whether a call to the store may succeed and is worth its cost. If
+  /// not, the caller waits as after an unanswered call.
+  virtual bool isStoreCallDue(const std::string &) const { return true; }
   /// \return whether an answer for the kind is being received.
   virtual bool isReceiving(const std::string &) const { return false; }
 };
@@ -162,7 +171,10 @@
 
   void start();
   void tick();
-  /// Starts a new list at once.
+  /// Brings the cache up to date after an outage: by a watch if another daemon
+  /// answers it, else by a list.
+  void resync();
+  /// Starts a new list of the store at once.
   /// \param done called once the cache is updated or the list has failed.
   void refresh(std::function<void()> done = nullptr);
   /// \return whether the last call of the store succeeded.
@@ -192,6 +204,9 @@
   using ListingPtr = std::shared_ptr<Listing>;
 
   void startList();
+  void startResync();
+  void handleSharedChanges(const ObjectChanges &changes);
+  void listIfDue();
   void listPage(const ListingPtr &listing, const std::string &after);
   void handlePage(const ListingPtr &listing, ObjectPage page);
   void handleList(Listing listing);
@@ -212,6 +227,7 @@
   platform::Backoff Pause;
   Objects Cached;
   unsigned ListsPending = 0;
+  bool SharedPending = false; ///< A resync waits for another daemon.
   std::uint64_t Revision = 0;
   std::uint64_t Round = 0; ///< Answers of earlier rounds are ignored.
   std::optional<TimePoint> NextAttempt;
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -37,10 +37,19 @@
     watchers.resize(limits::WatchersPerDomain);
   if (std::any_of(watchers.begin(), watchers.end(),
                   [&](const Member &it) { return it.Vm == self; }))
-    return {{}, true};
+    return {{}, true, near.size()};
   // Each daemon has its own order, which spreads the calls over the watchers.
   return {rankOwners(watchers, TargetName(self.Value), domain, RegionName()),
-          false};
+          false, near.size()};
+}
+
+bool isDaemonListDue(bool fleetStarts, Duration sinceStart) {
+  return !fleetStarts || sinceStart >= limits::FleetStartDelay;
+}
+
+bool isSharedStartDue(bool daemonsListed, Duration sinceListDue) {
+  // The list hangs if the store is unavailable.
+  return daemonsListed || sinceListDue >= limits::HedgeDelay;
 }
 
 SharedWatch::SharedWatch(ObjectSource &store, WatcherPort &watcherCalls,
@@ -88,8 +97,12 @@
   if (answered) {
     ConfirmedAt[kind] = Time.now() - page.Age;
     logLargeAnswer(line);
-  } else
+    NextStoreCall.erase(kind);
+  } else {
     logUnanswered(line);
+    NextStoreCall[kind] =
+        Time.now() + limits::OutageCallInterval * Plan.DomainDaemons;
+  }
   if (OnStoreCall)
     OnStoreCall(kind, answered);
 }
@@ -130,13 +143,76 @@
               });
 }
 
+bool SharedWatch::reportsOutage(const VmName &watcher, TimePoint now) const {
+  auto it = Watchers.find(watcher);
+  return it != Watchers.end() && it->second.StoreAwayAt &&
+         now - *it->second.StoreAwayAt < limits::StoreAwayAge;
+}
+
+/// \return the daemon to call; one that reports an outage only if no other can
+/// be called.
 const Member *SharedWatch::nextWatcher(TimePoint now) const {
+  const Member *reporting = nullptr;
   for (const auto &it : Plan.Watchers) {
-    auto paused = PausedUntil.find(it.Vm);
-    if (paused == PausedUntil.end() || now >= paused->second)
+    auto state = Watchers.find(it.Vm);
+    if (state != Watchers.end() && now < state->second.PausedUntil)
+      continue;
+    if (!reportsOutage(it.Vm, now))
       return &it;
+    if (!reporting)
+      reporting = &it;
   }
-  return nullptr;
+  return reporting;
+}
+
+/// \return the time for which the cached objects may still go unconfirmed;
+/// negative if they are too old.
+milliseconds SharedWatch::timeUntilTooOld(const std::string &kind) const {
+  auto it = ConfirmedAt.find(kind);
+  auto confirmed = it == ConfirmedAt.end() ? TimePoint{} : it->second;
+  return std::chrono::duration_cast<milliseconds>(
+      confirmed + MaxAge - limits::SharedSlack - Time.now());
+}
+
+bool SharedWatch::isTooOld(const std::string &kind) const {
+  return timeUntilTooOld(kind) < limits::MinSharedWait;
+}
+
+bool SharedWatch::isStoreCallDue(const std::string &kind) const {
+  auto now = Time.now();
+  bool outage =
+      std::any_of(Plan.Watchers.begin(), Plan.Watchers.end(),
+                  [&](const Member &it) { return reportsOutage(it.Vm, now); });
+  if (!outage)
+    return true;
+  bool reached = kind == Sentinel || !isTooOld(Sentinel);
+  auto next = NextStoreCall.find(kind);
+  return reached && isTooOld(kind) &&
+         (next == NextStoreCall.end() || now >= next->second);
+}
+
+/// \return the wait of a watch at another daemon; less than MinSharedWait if
+/// the store is to be called instead.
+milliseconds SharedWatch::sharedWait(const std::string &kind,
+                                     milliseconds wait) const {
+  // Nothing is in use yet that could be too old.
+  if (!ConfirmedAt.contains(kind))
+    return limits::OutageHold;
+  if (isTooOld(kind) && !isStoreCallDue(kind))
+    return limits::OutageHold;
+  return std::min(
+      {timeUntilTooOld(kind), wait, milliseconds(limits::SharedWait)});
+}
+
+void SharedWatch::recordFailure(const VmName &watcher, bool answered) {
+  auto now = Time.now();
+  auto &it = Watchers[watcher];
+  it.PausedUntil =
+      now + (answered ? limits::StoreAwayPause : limits::WatcherPause);
+  if (answered)
+    it.StoreAwayAt = now;
+  else
+    it.StoreAwayAt.reset();
 }
 
 /// The called daemon may be frozen, killed, or cut off from this one or from
@@ -144,19 +220,15 @@
 /// known here in time. Its answer therefore includes the age of its data, no
 /// wait exceeds the age that the cached objects may still reach, and after that
 /// the store is called directly.
-void SharedWatch::watch(const std::string &kind, std::uint64_t revision,
-                        milliseconds wait, OnChanges done) {
+bool SharedWatch::watchShared(const std::string &kind, std::uint64_t revision,
+                              milliseconds wait, const OnChanges &done) {
   auto now = Time.now();
   const auto *watcher = nextWatcher(now);
-  auto left = ConfirmedAt[kind] + MaxAge - limits::SharedSlack - now;
-  auto longest = std::min({std::chrono::duration_cast<milliseconds>(left), wait,
-                           milliseconds(limits::SharedWait)});
-  if (!watcher || longest < limits::MinSharedWait) {
-    watchStore(kind, revision, wait, std::move(done));
-    return;
-  }
+  auto longest = sharedWait(kind, wait);
+  if (!watcher || longest < limits::MinSharedWait)
+    return false;
   auto answered = [this, kind, revision, wait, began = now, vm = watcher->Vm,
-                   done = std::move(done)](const WatchReply &reply) {
+                   done](const WatchReply &reply) {
     const auto &it = reply.Answer;
     CallRecord line{kind, "watch", vm.Value, reply.Received,
                     Time.now() - began};
@@ -166,16 +238,44 @@
       auto changes = it->Changes;
       changes.Age = it->Age + reply.Received.Elapsed;
       ConfirmedAt[kind] = std::max(ConfirmedAt[kind], Time.now() - changes.Age);
+      Watchers.erase(vm);
       logLargeAnswer(line);
       done(changes);
       return;
     }
     logUnanswered(line);
-    PausedUntil[vm] = Time.now() + limits::WatcherPause;
-    watch(kind, revision, wait, done);
+    recordFailure(vm, it.has_value());
+    if (!watchShared(kind, revision, wait, done))
+      done({});
+  };
+  // Answers with all objects queue on the watcher's link.
+  auto limit = ConfirmedAt.contains(kind) ? longest + limits::SharedSlack
+                                          : limits::ListTimeout;
+  WatcherCalls.watch(watcher->InnerAddress, {kind, revision, longest}, limit,
+                     std::move(answered));
+  return true;
+}
+
+void SharedWatch::watch(const std::string &kind, std::uint64_t revision,
+                        milliseconds wait, OnChanges done) {
+  auto orStore = [this, kind, revision, wait,
+                  done](const ObjectChanges &changes) {
+    if (changes.Outcome == ReadOutcome::Unavailable)
+      watchStoreIfDue(kind, revision, wait, done);
+    else
+      done(changes);
   };
-  WatcherCalls.watch(watcher->InnerAddress, {kind, revision, longest},
-                     longest + limits::SharedSlack, std::move(answered));
+  if (!watchShared(kind, revision, wait, orStore))
+    watchStoreIfDue(kind, revision, wait, done);
+}
+
+void SharedWatch::watchStoreIfDue(const std::string &kind,
+                                  std::uint64_t revision, milliseconds wait,
+                                  const OnChanges &done) {
+  if (isStoreCallDue(kind))
+    watchStore(kind, revision, wait, done);
+  else
+    done({});
 }
 
 void WatchHost::add(const ObjectCache &cache, bool sentinel) {
@@ -190,8 +290,10 @@
     answer({});
     return;
   }
-  Waiting.push_back({it->second, request.NewerThan, Time.now() + request.Wait,
-                     std::move(answer)});
+  auto now = Time.now();
+  Waiting.push_back({it->second, request.NewerThan,
+                     now + std::min<Duration>(request.Wait, limits::OutageHold),
+                     now + request.Wait, std::move(answer)});
 }
 
 bool WatchHost::isCurrent(const ObjectCache &cache) const {
@@ -199,8 +301,9 @@
 }
 
 bool WatchHost::isDue(const PendingWatch &it, TimePoint now) const {
-  return !isCurrent(*it.Of) || it.Of->revision() > it.NewerThan ||
-         now >= it.Until;
+  if (!isCurrent(*it.Of))
+    return now >= it.OutageUntil;
+  return it.Of->revision() > it.NewerThan || now >= it.Until;
 }
 
 void WatchHost::answer(const PendingWatch &it, TimePoint now) const {
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -33,9 +33,22 @@
 inline constexpr milliseconds MinSharedWait{200};
 /// Time for which a daemon that did not answer is not called again.
 inline constexpr milliseconds WatcherPause{2'000};
+/// The same for one that answered that the store is unavailable.
+inline constexpr milliseconds StoreAwayPause{300};
+/// Time for which a daemon's answer that the store is unavailable counts.
+inline constexpr milliseconds StoreAwayAge{2'000};
+/// Time for which a daemon that cannot reach the store holds a watch, so that
+/// the caller learns at once when it can.
+inline constexpr milliseconds OutageHold{500};
+/// During an outage the daemons of a failure domain that others watch for call
+/// the store once in this time each, times their number: together at a rate
+/// that does not grow with them.
+inline constexpr milliseconds OutageCallInterval{50};
 /// A daemon that watches for others notices an outage at the latest after the
 /// greatest age of cached objects divided by this.
 inline constexpr int MaxAgeDivisor = 2;
+/// Time in which all daemons of a fleet that starts have registered.
+inline constexpr milliseconds FleetStartDelay{1'000};
 /// Answers of at least this many bytes are logged.
 inline constexpr std::size_t LargeAnswerSize = 16 << 10;
 
@@ -45,6 +58,7 @@
 struct WatchPlan {
   std::vector<Member> Watchers;  ///< In call order; empty: watch the store.
   bool WatchesForOthers = false; ///< Whether others call this daemon.
+  std::size_t DomainDaemons = 0; ///< Daemons of the failure domain.
 
   auto operator<=>(const WatchPlan &) const = default;
 };
@@ -53,6 +67,15 @@
 WatchPlan planWatches(const VmName &self, const DomainName &domain,
                       const std::vector<Member> &live);
 
+/// Whether a daemon that starts lists the daemons now. Hundreds of daemons that
+/// start together would otherwise each list and watch them again and again
+/// while they register.
+/// \param fleetStarts whether all daemons start for the first time.
+bool isDaemonListDue(bool fleetStarts, Duration sinceStart);
+/// Whether a daemon that starts reads the kinds that another daemon could pass
+/// on, which it knows once it has listed the daemons.
+bool isSharedStartDue(bool daemonsListed, Duration sinceListDue);
+
 struct WatchReply {
   std::optional<messages::WatchAnswer> Answer; ///< Empty if none came in time.
   http::Transfer Received{};
@@ -83,7 +106,11 @@
 
 /// Lists call the store. A watch calls a daemon that watches for others as long
 /// as the cached objects will then be no older than \p maxAge; otherwise the
-/// store. Not thread-safe; must outlive its pending calls.
+/// store. While such daemons report that the store is unavailable, it is called
+/// rarely, and only for objects that are too old, those of the sentinel kind
+/// first: if hundreds of daemons all retried, their calls would delay the end
+/// of an overload of the store. Not thread-safe; must outlive its pending
+/// calls.
 class SharedWatch final : public ObjectSource {
 public:
   /// \param sentinel kind whose watch detects an outage of the store.
@@ -102,12 +129,28 @@
             milliseconds limit, OnPage done) override;
   void watch(const std::string &kind, std::uint64_t revision, milliseconds wait,
              OnChanges done) override;
+  bool watchShared(const std::string &kind, std::uint64_t revision,
+                   milliseconds wait, const OnChanges &done) override;
+  bool isStoreCallDue(const std::string &kind) const override;
   bool isReceiving(const std::string &kind) const override {
     return Store.isReceiving(kind);
   }
 
 private:
+  struct WatcherState {
+    TimePoint PausedUntil{};
+    /// When it last answered that the store is unavailable.
+    std::optional<TimePoint> StoreAwayAt;
+  };
+
+  bool reportsOutage(const VmName &watcher, TimePoint now) const;
   const Member *nextWatcher(TimePoint now) const;
+  milliseconds timeUntilTooOld(const std::string &kind) const;
+  bool isTooOld(const std::string &kind) const;
+  milliseconds sharedWait(const std::string &kind, milliseconds wait) const;
+  void recordFailure(const VmName &watcher, bool answered);
+  void watchStoreIfDue(const std::string &kind, std::uint64_t revision,
+                       milliseconds wait, const OnChanges &done);
   milliseconds storeWait(const std::string &kind, milliseconds wait);
   void watchStore(const std::string &kind, std::uint64_t revision,
                   milliseconds wait, OnChanges done);
@@ -121,7 +164,9 @@
   milliseconds MaxAge;
   const Clock &Time;
   WatchPlan Plan;
-  std::map<VmName, TimePoint> PausedUntil;
+  std::map<VmName, WatcherState> Watchers;
+  /// When the store may be called again during an outage, by kind.
+  std::map<std::string, TimePoint> NextStoreCall;
   std::map<std::string, TimePoint> ConfirmedAt; ///< By kind.
 };
 
@@ -138,14 +183,15 @@
   /// kinds.
   void add(const ObjectCache &cache, bool sentinel = false);
   void begin(const messages::WatchRequest &request, Answer answer);
-  /// Answers the watches that have changes or have waited long enough, and all
-  /// of them while the store is unavailable.
+  /// Answers the watches that have changes or have waited long enough; while
+  /// the store is unavailable, sooner.
   void tick();
 
 private:
   struct PendingWatch {
     const ObjectCache *Of = nullptr;
     std::uint64_t NewerThan = 0;
+    TimePoint OutageUntil; ///< Until when it is held during an outage.
     TimePoint Until;
     Answer Done;
   };
