--- a/src/proxy/holder_ranks.cpp
+++ b/src/proxy/holder_ranks.cpp
@@ -36,7 +36,8 @@
       left.push_back(vm);
   }
   Eligible = std::move(next);
-  for (auto &[target, ranking] : Rankings) {
+  for (auto &entry : Rankings) {
+    auto &ranking = entry.second;
     if (std::any_of(left.begin(), left.end(), [&](const VmName &vm) {
           return contains(ranking.First, vm);
         }))
@@ -44,7 +45,7 @@
     if (ranking.Stale)
       continue;
     for (const auto *it : joined)
-      insert(*it, target, ranking);
+      insert(*it, entry.first, ranking);
   }
 }
 
