--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -145,8 +145,8 @@
 
 bool SharedWatch::reportsOutage(const VmName &watcher, TimePoint now) const {
   auto it = Watchers.find(watcher);
-  return it != Watchers.end() && it->second.StoreAwayAt &&
-         now - *it->second.StoreAwayAt < limits::StoreAwayAge;
+  return it != Watchers.end() && it->second.ReportedOutageAt &&
+         now - *it->second.ReportedOutageAt < limits::OutageReportAge;
 }
 
 /// \return the daemon to call; one that reports an outage only if no other can
@@ -208,11 +208,11 @@
   auto now = Time.now();
   auto &it = Watchers[watcher];
   it.PausedUntil =
-      now + (answered ? limits::StoreAwayPause : limits::WatcherPause);
+      now + (answered ? limits::OutageReportPause : limits::WatcherPause);
   if (answered)
-    it.StoreAwayAt = now;
+    it.ReportedOutageAt = now;
   else
-    it.StoreAwayAt.reset();
+    it.ReportedOutageAt.reset();
 }
 
 /// The called daemon may be frozen, killed, or cut off from this one or from
@@ -258,14 +258,14 @@
 
 void SharedWatch::watch(const std::string &kind, std::uint64_t revision,
                         milliseconds wait, OnChanges done) {
-  auto orStore = [this, kind, revision, wait,
-                  done](const ObjectChanges &changes) {
+  auto onShared = [this, kind, revision, wait,
+                   done](const ObjectChanges &changes) {
     if (changes.Outcome == ReadOutcome::Unavailable)
       watchStoreIfDue(kind, revision, wait, done);
     else
       done(changes);
   };
-  if (!watchShared(kind, revision, wait, orStore))
+  if (!watchShared(kind, revision, wait, onShared))
     watchStoreIfDue(kind, revision, wait, done);
 }
 
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -33,16 +33,16 @@
 inline constexpr milliseconds MinSharedWait{200};
 /// Time for which a daemon that did not answer is not called again.
 inline constexpr milliseconds WatcherPause{2'000};
-/// The same for one that answered that the store is unavailable.
-inline constexpr milliseconds StoreAwayPause{300};
-/// Time for which a daemon's answer that the store is unavailable counts.
-inline constexpr milliseconds StoreAwayAge{2'000};
+/// The same for one that reported an outage of the store.
+inline constexpr milliseconds OutageReportPause{300};
+/// Time for which such a report counts.
+inline constexpr milliseconds OutageReportAge{2'000};
 /// Time for which a daemon that cannot reach the store holds a watch, so that
 /// the caller learns at once when it can.
 inline constexpr milliseconds OutageHold{500};
-/// During an outage the daemons of a failure domain that others watch for call
-/// the store once in this time each, times their number: together at a rate
-/// that does not grow with them.
+/// During an outage a daemon that others watch for calls the store once in this
+/// interval times the number of daemons in its failure domain, so that the rate
+/// of a domain does not grow with its size.
 inline constexpr milliseconds OutageCallInterval{50};
 /// A daemon that watches for others notices an outage at the latest after the
 /// greatest age of cached objects divided by this.
@@ -140,7 +140,7 @@
   struct WatcherState {
     TimePoint PausedUntil{};
     /// When it last answered that the store is unavailable.
-    std::optional<TimePoint> StoreAwayAt;
+    std::optional<TimePoint> ReportedOutageAt;
   };
 
   bool reportsOutage(const VmName &watcher, TimePoint now) const;
