--- a/src/daemon/failover_driver.cpp
+++ b/src/daemon/failover_driver.cpp
@@ -4,6 +4,7 @@
 #include "messages/group_view.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <random>
 #include <utility>
 
@@ -34,7 +35,12 @@
   tick();
 }
 
-void FailoverDriver::stop() { Timer.cancel(); }
+void FailoverDriver::stop() {
+  asio::post(Timer.get_executor(), [self = shared_from_this()] {
+    self->Stopped = true;
+    self->Timer.cancel();
+  });
+}
 
 void FailoverDriver::tick() {
   refreshGroups();
@@ -50,7 +56,7 @@
   OnTick();
   Timer.expires_after(Tick);
   Timer.async_wait([self = shared_from_this()](std::error_code ec) {
-    if (!ec)
+    if (!ec && !self->Stopped)
       self->tick();
   });
 }
--- a/src/daemon/failover_driver.h
+++ b/src/daemon/failover_driver.h
@@ -86,6 +86,7 @@
   void handleObject(const GroupPtr &group, const Result<platform::Object> &it);
 
   asio::steady_timer Timer;
+  bool Stopped = false; ///< Used on the loop only.
   const Clock &Time;
   const ConfigurationInForce &Config;
   Fleet &Peers;
