--- a/src/proxy/object_cache.cpp
+++ b/src/proxy/object_cache.cpp
@@ -41,12 +41,16 @@
     refresh();
     return;
   }
-  ++Round;
+  dropPendingCalls();
   MustList = true;
+  startResync();
+}
+
+void ObjectCache::dropPendingCalls() {
+  ++Round;
   SharedPending = false;
   ListsPending = 0;
   NextAttempt.reset();
-  startResync();
 }
 
 void ObjectCache::startResync() {
@@ -71,9 +75,7 @@
     return;
   }
   // Answers of pending lists may be older.
-  ++Round;
-  ListsPending = 0;
-  NextAttempt.reset();
+  dropPendingCalls();
   MustList = false;
   if (!EverCurrent)
     DeletionsSince = changes.Revision;
@@ -90,11 +92,8 @@
 void ObjectCache::refresh(std::function<void()> done) {
   if (done)
     RefreshCallbacks.push_back(std::move(done));
-  ++Round;
+  dropPendingCalls();
   MustList = true;
-  SharedPending = false;
-  ListsPending = 0;
-  NextAttempt.reset();
   startList();
 }
 
@@ -144,11 +143,7 @@
 }
 
 void ObjectCache::handleList(Listing listing) {
-  // Answers of other pending calls are ignored.
-  ++Round;
-  SharedPending = false;
-  ListsPending = 0;
-  NextAttempt.reset();
+  dropPendingCalls();
   if (!EverCurrent)
     DeletionsSince = listing.Revision;
   Revision = listing.Revision;
--- a/src/proxy/object_cache.h
+++ b/src/proxy/object_cache.h
@@ -204,6 +204,8 @@
   using ListingPtr = std::shared_ptr<Listing>;
 
   void startList();
+  /// Ignores the answers of all pending calls, and retries none of them.
+  void dropPendingCalls();
   void startResync();
   void handleSharedChanges(const ObjectChanges &changes);
   void listIfDue();
