Proxy: sessions, leases and connections belong to a client account

Cause: START dropped the key, every connection to a target was opened as "peridotfall", and the pool lent any idle connection to anybody.

Change: the key becomes a digest in the parser; sessions are proved by the table in force when they start and at each new configuration; a statement that waits or is retried is checked before each attempt. The account goes with each lease and relay and names the connection at the target; a lease of another daemon that names none is refused as not run. A pool whose connections are all taken replaces the one idle for longest. A line that may be a misspelt START is no longer shown in the log.

The new tests need the new interface and don't compile before.

--- a/src/messages/lease.cpp
+++ b/src/messages/lease.cpp
@@ -93,7 +93,7 @@
 
 bool fromProto(const lease::StatementError &in, proxy::StatementError &out) {
   out.Detail = in.detail();
-  return parseEnum(in.kind(), proxy::ErrorKind::Other, out.Kind);
+  return parseEnum(in.kind(), proxy::ErrorKind::KeyUnknown, out.Kind);
 }
 
 void toProto(lease::Answer *out, const proxy::Answer &it) {
@@ -137,6 +137,8 @@
     out.set_goal_left_us(std::chrono::duration_cast<std::chrono::microseconds>(
                              *it.Request.GoalLeft)
                              .count());
+  if (it.NamesAccount)
+    out.set_account(it.Request.Account.Value);
   toProto(out.mutable_first(), it.First);
   return out.SerializeAsString();
 }
@@ -150,7 +152,9 @@
                  in.priority(),
                  fromMicros(in.wait_us()),
                  fromMicros(in.total_us()),
-                 {}};
+                 {},
+                 AccountName(in.account())};
+  out.NamesAccount = in.has_account();
   if (in.has_goal_left_us())
     out.Request.GoalLeft = fromSignedMicros(in.goal_left_us());
   return out;
--- a/src/messages/lease.h
+++ b/src/messages/lease.h
@@ -21,6 +21,8 @@
 struct BeginLease {
   proxy::LeaseRequest Request;
   proxy::Batch First;
+  /// False: from a daemon of an earlier version, which knows no accounts.
+  bool NamesAccount = true;
 
   auto operator<=>(const BeginLease &) const = default;
 };
--- a/src/proxy/directory.h
+++ b/src/proxy/directory.h
@@ -5,6 +5,7 @@
 #ifndef PERIDOTFALL_PROXY_DIRECTORY_H
 #define PERIDOTFALL_PROXY_DIRECTORY_H
 
+#include "peridotfall/client_account.h"
 #include "peridotfall/clock.h"
 #include "peridotfall/names.h"
 
@@ -37,6 +38,8 @@
   milliseconds MaxStaleness{};
   /// A later answer is of little use to the caller. Zero: no such limit.
   milliseconds Goal{};
+  /// Callers need no key.
+  bool Public = false;
 
   auto operator<=>(const Route &) const = default;
 };
@@ -55,6 +58,8 @@
   std::map<DatabaseName, Route> Routes;
   std::map<GroupName, GroupSettings> Groups;
   milliseconds TransactionIdle{3'000};
+  /// Empty: callers need no key.
+  std::optional<AccountTable> Accounts;
 
   auto operator<=>(const RoutingTable &) const = default;
 };
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -215,17 +215,18 @@
   return nullptr;
 }
 
-VmName Groups::choosePath(const TargetName &target) {
+VmName Groups::choosePath(const TargetName &target,
+                          const AccountName &account) {
   auto paths = PathsByTarget.find(target);
   auto *here = pool(target);
   if (paths == PathsByTarget.end() || !here)
     return Self.Vm;
-  return paths->second.choose(Self.Vm, here->isFree()).value_or(Self.Vm);
+  return paths->second.choose(Self.Vm, here->isFree(account)).value_or(Self.Vm);
 }
 
 LeaseId Groups::begin(const LeaseRequest &request, Batch first, OnBatch done) {
-  return beginVia(choosePath(request.Target), request, std::move(first),
-                  std::move(done));
+  return beginVia(choosePath(request.Target, request.Account), request,
+                  std::move(first), std::move(done));
 }
 
 LeaseId Groups::beginVia(const VmName &by, const LeaseRequest &request,
@@ -376,7 +377,7 @@
 }
 
 void Groups::queryLeader(const TargetName &target) {
-  queryLeaderVia(choosePath(target), target);
+  queryLeaderVia(choosePath(target, AccountName()), target);
 }
 
 /// Only the primary accepts a plain transaction, so the answer to Begin shows
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -149,7 +149,7 @@
 
 private:
   /// \return the connection holder to use for the target now.
-  VmName choosePath(const TargetName &target);
+  VmName choosePath(const TargetName &target, const AccountName &account);
   LeaseId beginVia(const VmName &by, const LeaseRequest &request, Batch first,
                    OnBatch done);
   /// Fails a batch that has no connection, at the next tick.
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -6,6 +6,7 @@
 #ifndef PERIDOTFALL_PROXY_LEASE_H
 #define PERIDOTFALL_PROXY_LEASE_H
 
+#include "peridotfall/client_account.h"
 #include "peridotfall/clock.h"
 #include "proxy/environment.h"
 #include "proxy/statement.h"
@@ -38,6 +39,8 @@
   /// Time left until an answer is of little use to the caller; zero or less if
   /// that is over, empty if there is no such limit.
   std::optional<Duration> GoalLeft;
+  /// The connection's account; empty: that of callers without a key.
+  AccountName Account{};
 
   auto operator<=>(const LeaseRequest &) const = default;
 };
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -168,6 +168,13 @@
   }
   auto lease = std::make_shared<LeaseId>();
   auto &it = message.value();
+  if (!it.NamesAccount) {
+    respond({StatusOk,
+             {},
+             messages::encode(messages::LeaseAnswer{
+                 refusal("no account named", false), {}})});
+    return;
+  }
   *lease = Targets.beginHere(it.Request, std::move(it.First),
                              makeResponder(request.Connection, lease, respond));
   if (lease->valid())
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -34,22 +34,58 @@
   if (table.Version <= Table.Version)
     return false;
   Table = table;
-  std::vector<CallerId> waiting;
+  std::vector<CallerId> ids;
   for (const auto &[id, it] : All)
-    if (!it.HandshakeDone)
-      waiting.push_back(id);
-  for (auto id : waiting)
-    if (auto *it = find(id))
+    ids.push_back(id);
+  for (auto id : ids) {
+    auto *it = find(id);
+    if (it && it->HandshakeDone)
+      updateAccount(*it);
+    else if (it)
       acceptOrReject(*it);
+  }
   return true;
 }
 
-void Sessions::start(CallerId caller, const DatabaseName &database) {
+std::optional<AccountName> Sessions::accountOf(const Session &session) const {
+  auto route = Table.Routes.find(session.Database);
+  bool isPublic = route != Table.Routes.end() && route->second.Public;
+  if (!Table.Accounts || isPublic)
+    return AccountName();
+  const auto *it =
+      session.Key ? Table.Accounts->findByKey(*session.Key) : nullptr;
+  return it ? std::optional(it->Name) : std::nullopt;
+}
+
+/// A transaction begun for another account stays with that account's connection
+/// and fails at its next statement.
+void Sessions::updateAccount(Session &session) {
+  auto now = accountOf(session);
+  session.KeyRemoved = !now;
+  if (now)
+    session.Account = *now;
+  else if (!session.Current)
+    endForRemovedKey(session);
+}
+
+void Sessions::endForRemovedKey(Session &session) {
+  telemetry::log(Event::KeyRemoved, {field("account", session.Account.Value),
+                                     field("database", session.Database.Value),
+                                     field("version", Table.Version)});
+  auto id = session.Id;
+  closed(id);
+  Port.reject(id, {ErrorKind::KeyUnknown, "the key was removed"});
+}
+
+void Sessions::start(CallerId caller, const DatabaseName &database,
+                     const std::optional<KeyDigest> &key) {
   auto &it = All[caller];
   it.Id = caller;
   it.Database = database;
+  it.Key = key;
   it.LastActive = Time.now();
-  // Until a configuration is known, a database can't be reported as missing.
+  // Until a configuration is known, no database or key can be reported as
+  // unknown.
   if (Table.Version != 0)
     acceptOrReject(it);
 }
@@ -65,6 +101,17 @@
     Port.reject(id, {ErrorKind::NoDatabase, "no route has this name"});
     return;
   }
+  auto account = accountOf(session);
+  if (!account) {
+    telemetry::log(Event::KeyRejected,
+                   {field("database", session.Database.Value),
+                    field("version", Table.Version),
+                    field("confirmed_ms_ago", routesAge().count())});
+    All.erase(id);
+    Port.reject(id, {ErrorKind::KeyUnknown, "the key belongs to no account"});
+    return;
+  }
+  session.Account = *account;
   session.HandshakeDone = true;
   Port.completeHandshake(id);
   advance(session);
@@ -109,7 +156,13 @@
 void Sessions::advance(Session &session) {
   auto id = session.Id;
   auto *it = &session;
-  while (it && it->HandshakeDone && !it->Current && !it->Inbox.empty()) {
+  while (it && it->HandshakeDone && !it->Current) {
+    if (it->KeyRemoved) {
+      endForRemovedKey(*it);
+      return;
+    }
+    if (it->Inbox.empty())
+      return;
     auto next = std::move(it->Inbox.front());
     it->Inbox.pop_front();
     handle(*it, std::move(next));
@@ -198,6 +251,7 @@
   }
   session.Open = {};
   session.Open.ReadOnly = it.Kind == StatementKind::BeginRead;
+  session.Open.Account = session.Account;
   session.Open.AssignedRoute = route->second;
   session.Open.Version = Table.Version;
   session.State = TransactionState::Open;
@@ -265,8 +319,8 @@
       answer.ok() ? Event::StatementServed : Event::StatementFailed,
       {field("request", run.Request.Id),
        field("database", session.Database.Value),
-       field("target", run.Target.Value), field("tries", run.Attempts),
-       field("version", run.Version),
+       field("account", run.Account.Value), field("target", run.Target.Value),
+       field("tries", run.Attempts), field("version", run.Version),
        field("confirmed_ms_ago", routesAge().count()),
        field("not_before", notBefore ? fmt::format("{}.{}", notBefore->InTerm,
                                                    notBefore->Index)
@@ -325,6 +379,7 @@
   telemetry::log(Event::StatementRefused,
                  {field("request", run.Request.Id),
                   field("database", session.Database.Value),
+                  field("account", run.Account.Value),
                   field("group", run.AssignedRoute.Group.Value),
                   field("why", why), field("version", run.Version),
                   field("tries", run.Attempts),
@@ -348,6 +403,7 @@
   telemetry::log(Event::OutcomeUnknown,
                  {field("request", run.Request.Id),
                   field("database", session.Database.Value),
+                  field("account", run.Account.Value),
                   field("target", run.Target.Value), field("why", why)});
   session.State = TransactionState::Idle;
   answerError(session, ErrorKind::InDoubt, why);
@@ -371,20 +427,15 @@
   for (const auto &order : parked) {
     auto *it = find(std::get<CallerId>(order));
     if (it && it->Current && it->Current->Parked)
-      place(*it);
+      proceed(*it);
   }
 }
 
 void Sessions::tickSession(Session &session, TimePoint now) {
   if (session.Current) {
     auto &run = *session.Current;
-    if (run.RunAt && now >= *run.RunAt) {
-      if (session.State == TransactionState::Open && session.Open.Lease.valid())
-        runOnLease(session);
-      else
-        place(session);
-    } else if (run.Parked)
-      place(session);
+    if (run.Parked || (run.RunAt && now >= *run.RunAt))
+      proceed(session);
     return;
   }
   bool open = session.State != TransactionState::Idle;
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -84,7 +84,9 @@
   /// \param at when the store last confirmed that the routes are current.
   void confirmRoutes(TimePoint at) { RoutesConfirmedAt = at; }
 
-  void start(CallerId caller, const DatabaseName &database);
+  /// \param key the digest of the caller's key; empty: it sent none.
+  void start(CallerId caller, const DatabaseName &database,
+             const std::optional<KeyDigest> &key);
   void statement(CallerId caller, Statement it);
   void closed(CallerId caller);
   void tick();
@@ -105,6 +107,7 @@
     bool Wrote = false;
     Route AssignedRoute;
     std::uint64_t Version = 0; ///< Of the table with AssignedRoute.
+    AccountName Account;
     LeaseId Lease;
     TargetName Target;
     /// The next statement is answered with an error.
@@ -113,6 +116,7 @@
   /// The execution of a caller's statement, over all its attempts.
   struct StatementRun {
     Statement Request;
+    AccountName Account;
     Route AssignedRoute;
     std::uint64_t Version = 0; ///< Of the table with AssignedRoute.
     std::uint64_t Serial = 0;
@@ -134,6 +138,10 @@
   struct Session {
     CallerId Id;
     DatabaseName Database;
+    std::optional<KeyDigest> Key;
+    AccountName Account; ///< Empty: the caller needs no key.
+    /// The key was removed; the session ends once its statement has ended.
+    bool KeyRemoved = false;
     bool HandshakeDone = false;
     SessionValues Set;
     std::map<std::string, PreparedStatement> PreparedStatements;
@@ -147,6 +155,12 @@
 
   Session *find(CallerId caller);
   void acceptOrReject(Session &session);
+  /// \return the account of a session by the current table; nothing if its key
+  /// is needed and belongs to no account.
+  std::optional<AccountName> accountOf(const Session &session) const;
+  /// Applies changes of the accounts to a session that has begun.
+  void updateAccount(Session &session);
+  void endForRemovedKey(Session &session);
   void advance(Session &session);
   void handle(Session &session, Statement it);
   void handleLocal(Session &session, const Statement &it);
@@ -158,6 +172,8 @@
   void prepare(Session &session, const Statement &it);
 
   void beginRun(Session &session, Statement it);
+  /// Continues a session's statement, unless its account has changed.
+  void proceed(Session &session);
   void place(Session &session);
   void placeRead(Session &session, Group &group);
   void placeAtPrimary(Session &session, Group &group);
--- a/src/proxy/statement.cpp
+++ b/src/proxy/statement.cpp
@@ -44,6 +44,8 @@
     return "malformed";
   case ErrorKind::NoDatabase:
     return "no such database";
+  case ErrorKind::KeyUnknown:
+    return "key unknown";
   case ErrorKind::Other:
     break;
   }
--- a/src/proxy/statement.h
+++ b/src/proxy/statement.h
@@ -77,7 +77,8 @@
   NoStatement,
   Malformed,
   NoDatabase,
-  Other, ///< Detail has the complete error.
+  Other,      ///< Detail has the complete error.
+  KeyUnknown, ///< The caller's key belongs to no account.
 };
 
 /// \return the text used in logs and metric labels.
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -74,6 +74,24 @@
                     writes(it) || (inTransaction && !session.Open.ReadOnly);
   run.Request = std::move(it);
   session.Current = std::move(run);
+  proceed(session);
+}
+
+void Sessions::proceed(Session &session) {
+  bool inTransaction = session.State == TransactionState::Open;
+  if (session.KeyRemoved) {
+    endForRemovedKey(session);
+    return;
+  }
+  if (inTransaction && session.Open.Account != session.Account) {
+    releaseLease(session.Open.Lease);
+    session.Open.Lease = {};
+    session.State = TransactionState::Failed;
+    answerError(session, ErrorKind::Aborted,
+                "the key was moved to another account");
+    return;
+  }
+  session.Current->Account = session.Account;
   if (inTransaction && session.Open.Lease.valid())
     runOnLease(session);
   else
@@ -261,6 +279,7 @@
   LeaseRequest request;
   request.Target = target;
   request.Priority = run.AssignedRoute.Priority;
+  request.Account = run.Account;
   request.Wait =
       std::clamp<Duration>(wait, Duration{}, left - limits::MinAttemptTime);
   request.Total = left;
@@ -472,7 +491,7 @@
            nameOf(why));
     return;
   }
-  place(session);
+  proceed(session);
 }
 
 /// An overloaded primary rejects statements as busy, and no other target can
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -32,6 +32,12 @@
                      [](const Statement &s) { return !s.Id.empty(); });
 }
 
+/// \return whether a lease runs only statements of the proxy itself, for which
+/// a connection of any account will do.
+bool isProbe(const Batch &first) {
+  return first.EndsLease && !hasCallerStatement(first);
+}
+
 } // namespace
 
 TargetPool::TargetPool(TargetEntry target, TargetPort &port, const Clock &clock,
@@ -47,6 +53,7 @@
   Waiter waiter;
   waiter.Lease = id;
   waiter.Priority = request.Priority;
+  waiter.Account = request.Account;
   waiter.First = std::move(first);
   waiter.Done = std::move(done);
   waiter.Since = now;
@@ -54,7 +61,8 @@
   waiter.AnswerDeadline = now + request.Total;
   if (request.GoalLeft)
     waiter.Goal = now + *request.GoalLeft;
-  Waiting.push(std::move(waiter), isFree(), MaxRunning, now);
+  bool free = isFree(request.Account);
+  Waiting.push(std::move(waiter), free, MaxRunning, now);
   if (!Retired)
     assign();
   return id;
@@ -99,31 +107,66 @@
       }));
 }
 
-/// Starts waiting leases on idle connections, for each the one that needs the
-/// fewest set-up statements. No more than MaxRunning are sent at once, as an
-/// overloaded target refuses what is beyond its queue whatever its priority.
-/// Statements of open transactions do not wait here.
+std::size_t TargetPool::opening() const {
+  return static_cast<std::size_t>(
+      std::count_if(Connections.begin(), Connections.end(), [](const auto &it) {
+        return it.second.State == Phase::Opening;
+      }));
+}
+
+/// Starts waiting leases on idle connections of their account, in order. A
+/// lease without one gets a connection opened, before later leases are served:
+/// else a busy account could keep all connections. No more than MaxRunning are
+/// sent at once, as an overloaded target refuses what is beyond its queue
+/// whatever its priority. Statements of open transactions do not wait here.
 void TargetPool::assign() {
-  while (!Waiting.empty() && running() < MaxRunning) {
-    const auto &next = Waiting.next(Time.now());
-    auto it = bestIdle(next.First.Session);
-    if (it == Connections.end())
-      break;
-    auto waiter = Waiting.take(next.Lease);
-    reportWait(waiter);
-    start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done),
-          waiter.AnswerDeadline);
+  if (Waiting.empty() || running() >= MaxRunning)
+    return;
+  std::map<AccountName, std::size_t> unclaimed;
+  for (const auto &[id, it] : Connections)
+    unclaimed[it.Account] += it.State == Phase::Opening;
+  for (auto lease : Waiting.order(Time.now())) {
+    if (running() >= MaxRunning)
+      return;
+    if (!Waiting.contains(lease))
+      continue;
+    const auto &waiter = Waiting.at(lease);
+    auto &opening = unclaimed[waiter.Account];
+    if (auto it = bestIdle(waiter); it != Connections.end())
+      startWaiting(it, lease);
+    else if (opening > 0)
+      --opening;
+    else if (mayOpen())
+      openFor(waiter.Account);
+  }
+}
+
+void TargetPool::startWaiting(ConnectionIt it, LeaseId lease) {
+  auto waiter = Waiting.take(lease);
+  if (it->second.Account != waiter.Account && !isProbe(waiter.First)) {
+    telemetry::log(Event::AccountsMixed,
+                   {field("target", Target.Name.Value),
+                    field("account", waiter.Account.Value),
+                    field("connection_account", it->second.Account.Value)});
+    refuse(waiter, "no connection of the account");
+    return;
   }
-  openNeeded();
+  reportWait(waiter);
+  start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done),
+        waiter.AnswerDeadline);
 }
 
-TargetPool::ConnectionIt TargetPool::bestIdle(const SessionValues &session) {
+/// \return the connection that needs the fewest set-up statements.
+TargetPool::ConnectionIt TargetPool::bestIdle(const Waiter &waiter) {
   auto best = Connections.end();
   std::size_t fewest = 0;
+  bool anyAccount = isProbe(waiter.First);
   for (auto it = Connections.begin(); it != Connections.end(); ++it) {
-    if (it->second.State != Phase::Idle)
+    const auto &connection = it->second;
+    if (connection.State != Phase::Idle ||
+        (connection.Account != waiter.Account && !anyAccount))
       continue;
-    auto n = distance(it->second.Environment.Set, session);
+    auto n = distance(connection.Environment.Set, waiter.First.Session);
     if (best == Connections.end() || n < fewest) {
       best = it;
       fewest = n;
@@ -134,28 +177,43 @@
   return best;
 }
 
-/// Opens connections for waiting leases. When many of them wait for a target
-/// that was just discovered, or whose connections were lost, one connection for
-/// each would delay them: opening one takes a slot of the target for 12 to 27
-/// ms, more than most statements need. So none is opened for a statement that
-/// may not run yet.
-void TargetPool::openNeeded() {
-  auto now = Time.now();
-  if (Retired || now < OpenAfter)
-    return;
+/// When many leases wait for a target that was just discovered, or whose
+/// connections were lost, one connection for each would delay them: opening one
+/// takes a slot of the target for 12 to 27 ms, more than most statements need.
+/// So none is opened for a statement that may not run yet.
+bool TargetPool::mayOpen() const {
+  return !Retired && Time.now() >= OpenAfter &&
+         opening() + running() < MaxRunning;
+}
+
+void TargetPool::openFor(const AccountName &account) {
   // Other daemons' plans may still list this one as a connection holder for a
   // moment.
   auto maxConnections = std::max<std::size_t>(Capacity, 1);
-  std::size_t opening = 0;
-  for (const auto &it : Connections)
-    opening += it.second.State == Phase::Opening;
-  auto active = running();
-  while (opening < Waiting.size() && opening + active < MaxRunning &&
-         Connections.size() < maxConnections) {
-    auto id = Port.open(Target);
-    Connections[id].Since = now;
-    ++opening;
+  if (Connections.size() >= maxConnections && !closeLeastUsed())
+    return;
+  auto &it = Connections[Port.open(Target, account)];
+  it.Account = account;
+  it.Since = Time.now();
+}
+
+/// Closes the connection that was idle for longest, one whose account waits for
+/// it only if there is no other.
+bool TargetPool::closeLeastUsed() {
+  using Rank = std::pair<bool, TimePoint>;
+  std::optional<std::pair<Rank, ConnectionId>> least;
+  for (const auto &[id, it] : Connections) {
+    if (it.State != Phase::Idle)
+      continue;
+    std::pair candidate{Rank{Waiting.isWanted(it.Account), it.Since}, id};
+    if (!least || candidate < *least)
+      least = candidate;
   }
+  if (!least)
+    return false;
+  Port.close(least->second);
+  Connections.erase(least->second);
+  return true;
 }
 
 void TargetPool::start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done,
@@ -361,10 +419,13 @@
     closeIdle();
 }
 
-bool TargetPool::isFree() const {
-  auto now = stats();
-  return now.Waiting == 0 && running() < MaxRunning &&
-         (now.Idle > 0 || now.Open < Capacity);
+bool TargetPool::isFree(const AccountName &account) const {
+  bool idle =
+      std::any_of(Connections.begin(), Connections.end(), [&](const auto &it) {
+        return it.second.State == Phase::Idle && it.second.Account == account;
+      });
+  return Waiting.empty() && running() < MaxRunning &&
+         (idle || Connections.size() < Capacity);
 }
 
 void TargetPool::tick() {
@@ -403,7 +464,7 @@
   }
   for (auto &it : Waiting.takeExpired(now))
     refuse(it, "no connection free in time");
-  openNeeded();
+  assign();
 }
 
 void TargetPool::retire() {
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -44,7 +44,10 @@
 class TargetPort {
 public:
   virtual ~TargetPort() = default;
-  virtual ConnectionId open(const TargetEntry &target) = 0;
+  /// \param account of all statements on the connection; empty: callers without
+  /// a key.
+  virtual ConnectionId open(const TargetEntry &target,
+                            const AccountName &account) = 0;
   virtual void send(ConnectionId connection,
                     const std::vector<Statement> &statements) = 0;
   /// No event of the connection is reported afterwards.
@@ -89,7 +92,7 @@
   /// \param running statements that new leases may run at once.
   void setCapacity(std::size_t connections, std::size_t running);
   /// \return whether a new lease would start without waiting for another.
-  bool isFree() const;
+  bool isFree(const AccountName &account) const;
   void update(const TargetEntry &target) { Target = target; }
   /// Refuses waiting and new leases; open leases continue.
   void retire();
@@ -115,6 +118,8 @@
   };
   struct Connection {
     Phase State = Phase::Opening;
+    /// All caller statements on the connection are this account's.
+    AccountName Account;
     ConnectionEnvironment Environment;
     LeaseId Lease;
     std::optional<Running> Current;
@@ -128,8 +133,15 @@
   void start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done,
              TimePoint end);
   std::size_t running() const;
-  ConnectionIt bestIdle(const SessionValues &session);
-  void openNeeded();
+  std::size_t opening() const;
+  ConnectionIt bestIdle(const Waiter &waiter);
+  void startWaiting(ConnectionIt it, LeaseId lease);
+  /// \return whether a connection may be opened now.
+  bool mayOpen() const;
+  /// Opens a connection for the account, in place of one of another account if
+  /// there is no room.
+  void openFor(const AccountName &account);
+  bool closeLeastUsed();
   void finish(ConnectionIt it);
   void rollBack(ConnectionIt it);
   /// Closes the connection and ends its batch as lost.
--- a/src/proxy/wait_queue.cpp
+++ b/src/proxy/wait_queue.cpp
@@ -1,6 +1,7 @@
 #include "proxy/wait_queue.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace peridotfall::proxy {
@@ -53,24 +54,35 @@
   Waiting.insert(position, std::move(waiter));
 }
 
-/// Returns the first lease of the highest priority that can still meet its
-/// goal, or the first one if none can. Single statements go before
-/// transactions: under overload a transaction uses the time of several
-/// statements for one caller, so fewer callers would be served.
-const Waiter &WaitQueue::next(TimePoint now) const {
-  const auto &first = Waiting.front();
-  const Waiter *transaction = nullptr;
-  for (const auto &it : Waiting) {
-    if (it.Priority != first.Priority)
-      break;
-    if (isLate(it.Goal, now))
-      continue;
-    if (it.First.EndsLease)
-      return it;
-    if (!transaction)
-      transaction = &it;
+/// Within a priority, leases that can still meet their goal are first. Of
+/// these, single statements go before transactions: under overload a
+/// transaction uses the time of several statements for one caller, so fewer
+/// callers would be served.
+std::vector<LeaseId> WaitQueue::order(TimePoint now) const {
+  enum Class : unsigned { Single, Transaction, Late };
+  using Key = std::tuple<unsigned, Class, std::size_t>;
+  std::vector<Key> keys;
+  keys.reserve(Waiting.size());
+  for (std::size_t n = 0; n < Waiting.size(); ++n) {
+    const auto &it = Waiting[n];
+    auto kind = it.First.EndsLease ? Single : Transaction;
+    keys.emplace_back(it.Priority, isLate(it.Goal, now) ? Late : kind, n);
   }
-  return transaction ? *transaction : first;
+  std::sort(keys.begin(), keys.end());
+  std::vector<LeaseId> out;
+  out.reserve(keys.size());
+  for (const auto &it : keys)
+    out.push_back(Waiting[std::get<std::size_t>(it)].Lease);
+  return out;
+}
+
+const Waiter &WaitQueue::at(LeaseId lease) const {
+  return *std::find_if(Waiting.begin(), Waiting.end(), isLease(lease));
+}
+
+bool WaitQueue::isWanted(const AccountName &account) const {
+  return std::any_of(Waiting.begin(), Waiting.end(),
+                     [&](const Waiter &it) { return it.Account == account; });
 }
 
 Waiter WaitQueue::take(LeaseId lease) {
--- a/src/proxy/wait_queue.h
+++ b/src/proxy/wait_queue.h
@@ -32,6 +32,7 @@
 struct Waiter {
   LeaseId Lease;
   unsigned Priority = 0; ///< 0 is served first.
+  AccountName Account;
   Batch First;
   OnBatch Done;
   TimePoint Since;
@@ -57,8 +58,12 @@
   /// \param free whether it could start at once.
   /// \param maxRunning statements that run at once.
   void push(Waiter waiter, bool free, std::size_t maxRunning, TimePoint now);
-  /// \return the lease to run next. The queue must not be empty.
-  const Waiter &next(TimePoint now) const;
+  /// \return all waiting leases, the one to run next first.
+  std::vector<LeaseId> order(TimePoint now) const;
+  /// \return a lease, which must be in the queue.
+  const Waiter &at(LeaseId lease) const;
+  /// \return whether a lease of the account waits.
+  bool isWanted(const AccountName &account) const;
   /// Removes a lease, which must be in the queue.
   Waiter take(LeaseId lease);
   /// \return whether the lease was in the queue.
--- a/tests/adapter/entries_test.cpp
+++ b/tests/adapter/entries_test.cpp
@@ -92,6 +92,43 @@
           "type":"whenever"}]})"));
 }
 
+TEST_CASE("configuration, with accounts, is decoded") {
+  auto it = parseRoutingTable(
+      R"({"version":7,"services":[],"routes":[{"host":"fiti","type":"primary",
+          "service":"huvo11a","public":true}],"tenants":[{"name":"miny420",
+          "api_keys":["urtyiik","3fgfwrz"],"priority":1,"rate_per_s":119,
+          "burst":60.5},{"name":"late","api_keys":[]}]})");
+  REQUIRE(it);
+  CHECK(it.value().Routes.at(DatabaseName("fiti")).Public);
+  REQUIRE(it.value().Accounts);
+  const auto *account = it.value().Accounts->findByKey(digestOf("3fgfwrz"));
+  REQUIRE(account);
+  CHECK(account->Name.Value == "miny420");
+  CHECK(account->Priority == 1);
+  CHECK(account->Quota == AccountQuota{119, 60.5});
+  CHECK_FALSE(it.value().Accounts->find(AccountName("late"))->Quota);
+}
+
+// Guards against a configuration in force in which an account's keys are
+// missing or ambiguous, and against a key in the log.
+TEST_CASE("configuration, invalid accounts, is rejected without their keys") {
+  for (const char *it :
+       {R"({"name":"a"})", R"({"api_keys":["urtyiik"]})", R"("a")",
+        R"({"name":"a","api_keys":"urtyiik"})",
+        R"({"name":"a","api_keys":["urtyiik",7]})",
+        R"({"name":"a","api_keys":["urtyiik",""]})",
+        R"({"name":"a","api_keys":["urtyiik","urtyiik"]})",
+        R"({"name":"a","api_keys":["urtyiik"],"rate_per_s":-1})",
+        R"({"name":"a","api_keys":["urtyiik"]},{"name":"a","api_keys":[]})"}) {
+    CAPTURE(it);
+    auto table = parseRoutingTable(
+        std::string(R"({"version":7,"routes":[],"services":[],"tenants":[)") +
+        it + "]}");
+    REQUIRE_FALSE(table);
+    CHECK(table.error().Message.find("urtyiik") == std::string::npos);
+  }
+}
+
 TEST_CASE("leadership record and daemon, formatted, are parsed back") {
   proxy::LeadershipRecord record{VmName("vm"), 7, 65, 129};
   CHECK(parseLeadershipRecord(formatLeadershipRecord(record)).value() ==
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -42,6 +42,27 @@
   CHECK(std::get<StartMessage>(it.value()).Database.Value == "lepu270");
 }
 
+TEST_CASE("caller's START, with a key, keeps only its digest") {
+  auto it = parseCallerMessage("START lepu270 urtyiik");
+  REQUIRE(it);
+  CHECK(std::get<StartMessage>(it.value()).Key == digestOf("urtyiik"));
+  auto without = parseCallerMessage("START lepu270");
+  REQUIRE(without);
+  CHECK_FALSE(std::get<StartMessage>(without.value()).Key);
+}
+
+// Guards against a key in the log: errors are logged, and the line may be a
+// START that is misspelt.
+TEST_CASE("caller's line, not a message, is not shown in the error") {
+  for (const char *it :
+       {"START  urtyiik", "start lepu270 urtyiik", " START lepu270 urtyiik"}) {
+    CAPTURE(it);
+    auto message = parseCallerMessage(it);
+    REQUIRE_FALSE(message);
+    CHECK(message.error().Message.find("urtyiik") == std::string::npos);
+  }
+}
+
 TEST_CASE("caller's statements, each kind, are parsed") {
   CHECK(statementOf("QUERY a BEGIN").Kind == StatementKind::Begin);
   CHECK(statementOf("QUERY a BEGIN READ").Kind == StatementKind::BeginRead);
@@ -93,8 +114,10 @@
   // No position is known yet, so AFTER is left out.
   read.NotBefore = Position{};
   CHECK(formatStatement(read) == "QUERY 5c0e READ 1a4\r\n");
-  CHECK(formatStart("huvo11a", TargetName("i-7f")) ==
+  CHECK(formatStart("huvo11a", AccountName(), TargetName("i-7f")) ==
         "START huvo11a peridotfall i-7f\r\n");
+  CHECK(formatStart("huvo11a", AccountName("miny420"), TargetName("i-7f")) ==
+        "START huvo11a miny420 i-7f\r\n");
 }
 
 TEST_CASE("answer to a caller, rows or an error, ends with the state") {
--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -18,14 +18,17 @@
 struct FakeTargets final : TargetPort {
   struct Connection {
     TargetName Target;
+    AccountName Account;
     bool Open = true;
     std::deque<Statement> Unanswered;
     std::vector<Statement> Seen;
   };
 
-  ConnectionId open(const TargetEntry &target) override {
+  ConnectionId open(const TargetEntry &target,
+                    const AccountName &account) override {
     ConnectionId id{++Last};
     Connections[id].Target = target.Name;
+    Connections[id].Account = account;
     Opening.push_back(id);
     return id;
   }
@@ -134,7 +137,7 @@
 
   CallerId session(const char *database) {
     CallerId id{++LastCaller};
-    Callers.start(id, DatabaseName(database));
+    Callers.start(id, DatabaseName(database), std::nullopt);
     return id;
   }
   void send(CallerId caller, StatementKind kind, const char *text = "") {
--- a/tests/proxy/lease_message_test.cpp
+++ b/tests/proxy/lease_message_test.cpp
@@ -12,6 +12,7 @@
   begin.Request = {TargetName("t"), 1, std::chrono::milliseconds(100),
                    std::chrono::milliseconds(500),
                    std::chrono::milliseconds(-30)};
+  begin.Request.Account = AccountName("press\xff");
   begin.First.Session = {{"z\xff", "\x80\x81"}};
   begin.First.RequiredPrepared = {{true, "\xfe"}};
   begin.First.Statements = {makeProxyStatement(StatementKind::Write)};
