Quotas: limit an account's operations over all daemons

Cause: nothing limited an account.

What is over the limit is refused at once as not run, with the time to come back.

--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -5,6 +5,7 @@
 #ifndef PERIDOTFALL_PROXY_SESSIONS_H
 #define PERIDOTFALL_PROXY_SESSIONS_H
 
+#include "proxy/account_quotas.h"
 #include "proxy/groups.h"
 #include "proxy/metrics.h"
 
@@ -77,6 +78,8 @@
   Sessions(Groups &groups, CallerPort &port, ProxyMetrics &metrics,
            const Clock &clock);
 
+  /// \param quotas limits the accounts' operations; without it none is limited.
+  void setQuotas(QuotaPort &quotas) { Quotas = &quotas; }
   /// \return whether \p table was applied; one that is not newer than the
   /// current table is ignored.
   bool applyRoutes(const RoutingTable &table);
@@ -172,6 +175,9 @@
   void prepare(Session &session, const Statement &it);
 
   void beginRun(Session &session, Statement it);
+  /// Asks whether the account may run another operation, and then proceeds.
+  void admitOperation(Session &session);
+  void handleAdmission(Session &session, const QuotaDecision &decision);
   /// Continues a session's statement, unless its account has changed.
   void proceed(Session &session);
   void place(Session &session);
@@ -222,6 +228,7 @@
   CallerPort &Port;
   ProxyMetrics &Metrics;
   const Clock &Time;
+  QuotaPort *Quotas = nullptr;
   RoutingTable Table;
   TimePoint RoutesConfirmedAt;
   std::map<CallerId, Session> All;
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -74,7 +74,34 @@
                     writes(it) || (inTransaction && !session.Open.ReadOnly);
   run.Request = std::move(it);
   session.Current = std::move(run);
-  proceed(session);
+  // The statements of a transaction are one operation, counted with the first.
+  if (inTransaction && session.Open.Lease.valid())
+    proceed(session);
+  else
+    admitOperation(session);
+}
+
+void Sessions::admitOperation(Session &session) {
+  if (!Quotas) {
+    proceed(session);
+    return;
+  }
+  auto later = [this, id = session.Id, serial = session.Current->Serial](
+                   const QuotaDecision &decision) {
+    auto *it = find(id);
+    if (it && it->Current && it->Current->Serial == serial)
+      handleAdmission(*it, decision);
+  };
+  if (auto decision = Quotas->admit(session.Account, later))
+    handleAdmission(session, *decision);
+}
+
+void Sessions::handleAdmission(Session &session,
+                               const QuotaDecision &decision) {
+  if (decision.Run)
+    proceed(session);
+  else
+    refuse(session, decision.RetryAfter, "account over its limit");
 }
 
 void Sessions::proceed(Session &session) {
