Platform run: accounts, a removed key, unknown keys, keys in logs

The run on real processes had one anonymous caller. Now its callers belong to three accounts; the stand-in of a target notes each statement on a connection of another account; a key is removed in the first second and must not be served later than the configuration limit; sessions with unknown keys must be refused all the while; no log may show a key. Fuzzing covers the quota messages, and a configuration with accounts joins the corpus.

--- a/fuzz/lease_fuzz.cpp
+++ b/fuzz/lease_fuzz.cpp
@@ -1,8 +1,9 @@
-// Fuzzes the decoders of messages between daemons about leases, leader queries
-// and snapshots of stored objects.
+// Fuzzes the decoders of messages between daemons about leases, leader queries,
+// quotas and snapshots of stored objects.
 
 #include "fuzz.h"
 #include "messages/lease.h"
+#include "messages/quota.h"
 #include "messages/snapshot.h"
 
 using namespace peridotfall;
@@ -32,6 +33,8 @@
   checkRoundTrip(bytes, messages::decodeLeaseAnswer);
   checkRoundTrip(bytes, messages::decodeLeaderQuery);
   checkRoundTrip(bytes, messages::decodeLeaderView);
+  checkRoundTrip(bytes, messages::decodeUseReport);
+  checkRoundTrip(bytes, messages::decodeUseAnswer);
   checkRoundTrip(bytes, messages::decodeSnapshotRequest);
   checkRoundTrip(bytes, messages::decodeWatchRequest);
   checkRoundTrip(bytes, [](const std::string &it) {
--- a/tests/platform/run.py
+++ b/tests/platform/run.py
@@ -1,6 +1,7 @@
 """Runs daemons on a stand-in platform, injects faults, and checks the results
 of the callers: every acknowledged write is in the log exactly once, no read
-misses the caller's own write, and no write refused as not run is in the log.
+misses the caller's own write, no write refused as not run is in the log, each
+statement runs for its caller's account, and a removed key is not served.
 
 Usage: run.py DAEMON [SECONDS [SEED]]; DAEMON is the program's path.
 """
@@ -9,6 +10,7 @@
 import fcntl
 import os
 import random
+import secrets
 import signal
 import sys
 import tempfile
@@ -26,6 +28,8 @@
 SETTINGS_REJECTED = "PF1006"
 NOT_RUN = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
 CALLERS = 9
+KEY_REMOVED = "AUTHFAIL"
+CONFIGURATION_LIMIT = 3.0  # Seconds until a configuration is in force.
 
 SETTINGS = """
 node_name: "entry-{zone}"
@@ -70,11 +74,50 @@
         self.code = code
 
 
+class Accounts:
+    """Accounts with two keys each. The first key of the first one is removed."""
+
+    def __init__(self):
+        names = ["press-works", "desk-works", "depot-works"]
+        self.keys = {
+            it: [secrets.token_hex(10), secrets.token_hex(10)] for it in names
+        }
+        self.removed = None
+        self.removed_at = None
+
+    def of(self, number):
+        return list(self.keys)[number % len(self.keys)]
+
+    def of_request(self, request):
+        return self.of(int(request[1:].split("q")[0]))
+
+    def remove_key(self):
+        self.removed = self.keys["press-works"].pop(0)
+        self.removed_at = asyncio.get_running_loop().time()
+
+    def configuration(self):
+        return [
+            {"name": it, "api_keys": keys, "priority": 1}
+            for it, keys in self.keys.items()
+        ]
+
+    def is_late(self, key, sent_at):
+        """Whether a statement was sent when its key was long removed."""
+        return (
+            key == self.removed
+            and sent_at > self.removed_at + CONFIGURATION_LIMIT
+        )
+
+
 class Caller:
     """Runs one session at a time; each write's data is unique."""
 
-    def __init__(self, number, ports, seed):
+    def __init__(self, number, ports, seed, accounts):
         self.number = number
+        self.accounts = accounts
+        self.key = accounts.keys[accounts.of(number)][0]
+        self.served_late = 0  # Statements served long after the key's removal.
+        self.rejected_keys = 0
         self.ports = ports
         self.random = random.Random(seed * 1000 + number)
         self.reader = self.writer = None
@@ -95,10 +138,10 @@
         self.reader, self.writer = await asyncio.open_connection(
             "127.0.0.1", port
         )
-        self.writer.write(f"START {self.database} c{self.number}\r\n".encode())
+        self.writer.write(f"START {self.database} {self.key}\r\n".encode())
         line = await self.line()
         if not line.startswith("READY"):
-            raise Failure(line)
+            raise Failure(line.removeprefix("ERROR ").split(" ")[0])
 
     async def line(self):
         raw = await asyncio.wait_for(self.reader.readline(), 5)
@@ -108,6 +151,7 @@
 
     async def query(self, text):
         self.count += 1
+        sent_at = asyncio.get_running_loop().time()
         self.writer.write(
             f"QUERY c{self.number}q{self.count} {text}\r\n".encode()
         )
@@ -118,10 +162,14 @@
                 rows.append(rest)
             elif word == "ERROR":
                 error = rest.split(" ")[0]
+                # The session is closed behind it.
+                if error == KEY_REMOVED:
+                    raise Failure(error)
             elif word == "READY":
                 break
         if error:
             raise Failure(error)
+        self.served_late += self.accounts.is_late(self.key, sent_at)
         return rows
 
     async def write(self):
@@ -166,22 +214,48 @@
                     await (self.write() if self.random.random() < 0.4 else self.read())
                     self.done += 1
                     await asyncio.sleep(self.random.uniform(0, 0.01))
-            except (Failure, OSError, asyncio.TimeoutError):
+            except (Failure, OSError, asyncio.TimeoutError) as it:
                 self.failed += 1
+                if getattr(it, "code", "") == KEY_REMOVED:
+                    self.rejected_keys += 1
+                    self.key = self.accounts.keys[
+                        self.accounts.of(self.number)
+                    ][-1]
                 await asyncio.sleep(0.05)
             finally:
                 if self.writer:
                     self.writer.close()
 
 
+async def send_unknown_keys(ports, until):
+    """Begins sessions with unknown keys; returns those that were accepted."""
+    accepted = 0
+    while asyncio.get_running_loop().time() < until:
+        try:
+            for port in ports:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                key = secrets.token_hex(10)
+                writer.write(f"START orders {key}\r\n".encode())
+                line = await asyncio.wait_for(reader.readline(), 5)
+                accepted += line.startswith(b"READY")
+                writer.close()
+        except (OSError, asyncio.TimeoutError):
+            pass  # A daemon that is down.
+        await asyncio.sleep(0.05)
+    return accepted
+
+
 class World:
     """The stand-ins, and the daemons as processes."""
 
-    def __init__(self, program, folder):
+    def __init__(self, program, folder, accounts):
+        self.accounts = accounts
         self.program = program
         self.folder = folder
         self.store = Store()
         self.group = Group("ledger", self.store)
+        self.group.account_of = accounts.of_request
+        self.version = CONFIGURATION["version"]
         self.processes = {}
         self.unread = -1
         self.fence = 0
@@ -193,13 +267,27 @@
             target = Target(self.group, f"i-{zone}", TARGETS + n, zone, n == 0)
             await target.start()
             self.group.add(target)
+        self.put_configuration()
+        for zone in ZONES:
+            await self.start_daemon(zone)
+
+    def put_configuration(self):
         routes = [
             dict(it, service="ledger", timeout_ms=800, latency_goal_ms=500, priority=1)
             for it in CONFIGURATION["routes"]
         ]
-        self.store.put("config", "main", dict(CONFIGURATION, routes=routes))
-        for zone in ZONES:
-            await self.start_daemon(zone)
+        spec = dict(
+            CONFIGURATION,
+            version=self.version,
+            routes=routes,
+            tenants=self.accounts.configuration(),
+        )
+        self.store.put("config", "main", spec)
+
+    def remove_key(self):
+        self.accounts.remove_key()
+        self.version += 1
+        self.put_configuration()
 
     async def _store(self, method, target, _, body):
         while self.store.away:
@@ -313,7 +401,9 @@
     """Injects each fault once, one after the other."""
     step = seconds / 6
     world.reload_unusable("depot")
-    await asyncio.sleep(step)
+    await asyncio.sleep(step / 2)
+    world.remove_key()
+    await asyncio.sleep(step / 2)
     world.group.targets["i-press"].crash()
     world.store.delete("servers", "i-press")
     await asyncio.sleep(step)
@@ -344,6 +434,11 @@
         out += [f"lost: {d}" for d in it.acknowledged if d not in counts]
         out += [f"kept though refused: {d}" for d in it.refused if d in counts]
         out += [f"old read: {r}, acknowledged {a}" for r, a in it.stale]
+        if it.served_late:
+            out.append(f"a removed key was served {it.served_late} times")
+    out += [f"ran for {account}: {it}" for it, account in world.group.mixed]
+    if not any(it.rejected_keys for it in callers):
+        out.append("no session learnt that its key was removed")
     out += [f"twice: {d}" for d, n in counts.items() if n > 1]
     differ = [t.name for t in world.group.targets.values() if t.log != log]
     out += [f"the stand-in's logs differ: {name}" for name in differ]
@@ -353,14 +448,19 @@
 async def main(program, seconds, seed):
     loop = asyncio.get_running_loop()
     with tempfile.TemporaryDirectory() as folder:
-        world = World(program, folder)
+        accounts = Accounts()
+        # Also of the removed one.
+        secret = [it for keys in accounts.keys.values() for it in keys]
+        world = World(program, folder, accounts)
         ports = [world.port(zone) for zone in ZONES]
-        callers = [Caller(n, ports, seed) for n in range(CALLERS)]
+        callers = [Caller(n, ports, seed, accounts) for n in range(CALLERS)]
         try:
             await world.start()
             until = loop.time() + seconds
-            await asyncio.gather(
-                trouble(world, seconds), *(it.run(until) for it in callers)
+            accepted, *_ = await asyncio.gather(
+                send_unknown_keys(ports, until),
+                trouble(world, seconds),
+                *(it.run(until) for it in callers),
             )
             served_by = {
                 zone: await world.metric(
@@ -378,6 +478,10 @@
         if not world.log_is_full():
             wrong.append("the log that nobody reads is not full: nothing is shown")
         wrong += [f"{it} served nothing" for it in ZONES if not served_by[it]]
+        if accepted:
+            wrong.append(f"{accepted} sessions with an unknown key were accepted")
+        if any(it in text for it in secret for text in world.logs()):
+            wrong.append("a log shows a key")
         if wrong:
             for text in world.logs():
                 print(text)
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -63,6 +63,7 @@
             code = "WRONGNODE" if wrong else "CONNLIMIT"
             writer.write(f"ERROR {code} {self.name}\r\n".encode())
             return
+        account = start[2]
         session = Session(self)
         writer.write(f"READY I {session.position()}\r\n".encode())
         while True:
@@ -70,6 +71,7 @@
             if line == "TERM":
                 return
             _, request, text = line.split(" ", 2)
+            self.group.check_account(request, account)
             if text.split(" ")[0] in ("READ", "WRITE", "EXECUTE", "COMMIT"):
                 await asyncio.sleep(0.002)  # Simulated execution time.
             writer.write(session.run(request, text).encode())
@@ -193,6 +195,8 @@
         self.store = store
         self.term = 1
         self.targets = {}
+        self.account_of = lambda request: None
+        self.mixed = []  # (request, account of its connection)
 
     def add(self, target):
         self.targets[target.name] = target
@@ -213,6 +217,11 @@
         }
         self.store.put("servers", target.name, spec)
 
+    def check_account(self, request, account):
+        """Notes a caller's statement on a connection of another account."""
+        if request != "-" and self.account_of(request) != account:
+            self.mixed.append((request, account))
+
     def newest(self):
         return max(self.targets.values(), key=lambda it: it.position)
 
