--- a/tests/adapter/settings_test.cpp
+++ b/tests/adapter/settings_test.cpp
@@ -85,6 +85,18 @@
   CHECK_FALSE(parseSettings(text));
 }
 
+TEST_CASE("settings, tolerance of quotas, is parsed or has its default") {
+  CHECK(parseSettings(CompleteSettings).value().Quotas == QuotaTolerance{});
+  auto text = CompleteSettings;
+  text.replace(text.find("  grace_s: 6"), 12,
+               "  grace_s: 6\n  quota_window_s: 2.5\n"
+               "  quota_overshoot: 0.1\n  quota_slack: 20");
+  CHECK(parseSettings(text).value().Quotas ==
+        QuotaTolerance{milliseconds(2'500), 0.1, 20});
+  text.replace(text.find("2.5"), 3, "long");
+  CHECK_FALSE(parseSettings(text));
+}
+
 // The wait of a target watch is derived from the drain limit. Guards against a
 // wait longer than a leaving target may get new work.
 TEST_CASE("settings, drain limit, is parsed or has its default") {
