--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <utility>
 
 namespace peridotfall::proxy {
@@ -47,19 +48,22 @@
     widest = std::max(widest, it.LinkMbps);
     ++Daemons;
   }
-  std::map<VmName, Member> wide;
-  std::vector<Member> list;
-  for (const auto &it : live)
-    if (it.LinkMbps == widest && wide.emplace(it.Vm, it).second)
-      list.push_back(it);
-  Ranks.setMembers(list);
+  std::vector<Member> wide;
+  std::copy_if(live.begin(), live.end(), std::back_inserter(wide),
+               [&](const Member &it) {
+                 return it.LinkMbps == widest && !it.Leaving &&
+                        !it.ServesTarget;
+               });
+  Ranks.setMembers(wide);
   auto before = std::exchange(Counters, {});
   auto parts =
       (Daemons + limits::DaemonsPerCounter - 1) / limits::DaemonsPerCounter;
   for (std::size_t n = 0; n < parts; ++n) {
     auto &counters = Counters.emplace_back();
     for (const auto &vm : Ranks.first(partEntry(n), limits::CountersPerAccount))
-      counters.push_back(wide.at(vm));
+      counters.push_back(
+          *std::find_if(wide.begin(), wide.end(),
+                        [&](const Member &it) { return it.Vm == vm; }));
   }
   return Counters != before;
 }
@@ -145,6 +149,7 @@
     next.insert(Accounts.extract(known));
   }
   auto removed = std::exchange(Accounts, std::move(next));
+  Plan.setMembers(Live);
   assignCounters();
   for (const auto &[name, it] : removed)
     for (const auto &done : it.Asking)
@@ -152,8 +157,12 @@
 }
 
 void AccountQuotas::updateMembers(const std::vector<Member> &live) {
+  Live = live;
+  // Members change often while a fleet starts, and there may be no accounts.
+  if (Accounts.empty())
+    return;
   // Most changes touch no counter; there may be many accounts.
-  if (Plan.setMembers(live))
+  if (Plan.setMembers(Live))
     assignCounters();
 }
 
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -156,7 +156,8 @@
   CallPort &Calls;
   VmName Self;
   const Clock &Time;
-  CounterPlan Plan;
+  std::vector<Member> Live;
+  CounterPlan Plan; ///< Unused without accounts.
   QuotaTolerance Tolerance;
   QuotaCounter Counter;
   std::map<AccountName, Account> Accounts;
--- a/tests/proxy/account_quotas_test.cpp
+++ b/tests/proxy/account_quotas_test.cpp
@@ -254,6 +254,41 @@
   CHECK(decision);
 }
 
+// Guards against an account that gets more than its limit because a report was
+// lost on its way.
+TEST_CASE("report not answered, is sent again to the next counter") {
+  struct Calls final : CallPort {
+    std::vector<std::uint32_t> Reported;
+    std::vector<std::string> Addresses;
+    std::vector<http::OnResult> Pending;
+    void call(const std::string &address, const char *, std::string body,
+              const http::AnswerLimits &, http::OnResult done) override {
+      auto report = messages::decodeUseReport(body).value();
+      Reported.push_back(report.Uses.at(0).Run);
+      Addresses.push_back(address);
+      Pending.push_back(std::move(done));
+    }
+  };
+  ManualClock time;
+  Calls calls;
+  AccountQuotas daemon(calls, VmName("other"), time);
+  daemon.updateMembers(testing::membersOf(9));
+  ClientAccount account;
+  account.Name = AccountName("press");
+  account.Quota = Large;
+  daemon.apply(AccountTable::make({account}).value(), Tolerance);
+  for (int n = 0; n < 5; ++n)
+    daemon.admit(account.Name, [](const QuotaDecision &) {});
+  time.advance(proxy::limits::ReportDelay);
+  daemon.tick();
+  REQUIRE(calls.Pending.size() == 1);
+  calls.Pending[0](http::TransportError{http::Failure::MaybeRun, "silent", {}});
+  time.advance(proxy::limits::ReportDelay);
+  daemon.tick();
+  CHECK(calls.Reported == std::vector<std::uint32_t>{5, 5});
+  CHECK(calls.Addresses[0] != calls.Addresses[1]);
+}
+
 TEST_CASE("counters, members in another order, are the same") {
   auto members = testing::membersOf(75);
   CounterPlan one;
