Sessions: a removed key ends a transaction that is being begun

Cause: the first statement of a transaction was sent on the answer to its begin without another look at the key. Found by reading the paths to runOnLease. The test failed before (the write was seen at the target).

--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -387,7 +387,7 @@
   if (onlyBegan) {
     session.Open.Lease = lease;
     session.Open.Target = run.Target;
-    runOnLease(session);
+    proceed(session);
     return;
   }
   auto answer = result.Answers[ownFirst ? 1 : 0];
--- a/tests/proxy/accounts_test.cpp
+++ b/tests/proxy/accounts_test.cpp
@@ -241,6 +241,23 @@
         }) == 1);
 }
 
+// Guards against a first statement that is sent after its key was removed,
+// because its transaction was being begun at the target meanwhile.
+TEST_CASE_FIXTURE(AccountsFixture,
+                  "key removed while a transaction begins, runs no statement") {
+  auto caller = sessionWith("k1");
+  send(caller, StatementKind::Begin);
+  send(caller, StatementKind::Write, "WRITE a x");
+  completeHandshakes();
+  apply({account("press", {"k2"}), account("desk", {"k3"})});
+  serve("p", TransactionState::Open);
+  CHECK(isRejected(caller));
+  CHECK(sawRollback());
+  for (const auto &[id, it] : Links.Connections)
+    for (const auto &statement : it.Seen)
+      CHECK(statement.Kind != StatementKind::Write);
+}
+
 // Guards against a transaction of which one part runs for one account and the
 // rest for another.
 TEST_CASE_FIXTURE(AccountsFixture,
