Accounts: one rejection of a session's start, the shared status codes

The rejection of an unknown database was written again for an unknown key, the status codes of http/status.h and the filter of daemons that may count were written again in account_quotas.cpp. No behaviour changes.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -1,5 +1,6 @@
 #include "proxy/account_quotas.h"
 
+#include "http/status.h"
 #include "telemetry/events.h"
 
 #include <algorithm>
@@ -14,9 +15,6 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusBadRequest = 400;
-
 milliseconds refusalTime(Duration untilNext) {
   return std::clamp(std::chrono::ceil<milliseconds>(untilNext),
                     limits::MinRefusal, limits::MaxRefusal);
@@ -31,6 +29,8 @@
   return {share, excess, now};
 }
 
+bool mayCount(const Member &it) { return !it.Leaving && !it.ServesTarget; }
+
 TargetEntry partEntry(std::size_t part) {
   TargetEntry out;
   out.Name = TargetName("accounts-" + std::to_string(part));
@@ -43,17 +43,15 @@
   std::uint32_t widest = 0;
   Daemons = 0;
   for (const auto &it : live) {
-    if (it.Leaving || it.ServesTarget)
+    if (!mayCount(it))
       continue;
     widest = std::max(widest, it.LinkMbps);
     ++Daemons;
   }
   std::vector<Member> wide;
-  std::copy_if(live.begin(), live.end(), std::back_inserter(wide),
-               [&](const Member &it) {
-                 return it.LinkMbps == widest && !it.Leaving &&
-                        !it.ServesTarget;
-               });
+  std::copy_if(
+      live.begin(), live.end(), std::back_inserter(wide),
+      [&](const Member &it) { return mayCount(it) && it.LinkMbps == widest; });
   Ranks.setMembers(wide);
   auto before = std::exchange(Counters, {});
   auto parts =
@@ -282,7 +280,7 @@
 
 void AccountQuotas::handleAnswer(const VmName &vm, const SentReport &sent,
                                  const http::CallResult &result) {
-  bool answered = result && result.value().Status == StatusOk;
+  bool answered = result && result.value().Status == http::StatusOk;
   auto answer = answered ? messages::decodeUseAnswer(result.value().Body)
                          : Result<messages::UseAnswer>(Error{});
   bool valid = answer && answer.value().Grants.size() == sent.Accounts.size();
@@ -378,13 +376,13 @@
     return false;
   auto message = messages::decodeUseReport(request.Body);
   if (!message) {
-    respond({StatusBadRequest, {}, message.error().Message});
+    respond({http::StatusBadRequest, {}, message.error().Message});
     return true;
   }
   messages::UseAnswer answer;
   for (const auto &it : message.value().Uses)
     answer.Grants.push_back(Counter.handle(it));
-  respond({StatusOk, {}, messages::encode(answer)});
+  respond({http::StatusOk, {}, messages::encode(answer)});
   return true;
 }
 
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -91,32 +91,33 @@
 }
 
 void Sessions::acceptOrReject(Session &session) {
-  auto id = session.Id;
   if (!Table.Routes.contains(session.Database)) {
-    telemetry::log(Event::SessionRejected,
-                   {field("database", session.Database.Value),
-                    field("version", Table.Version),
-                    field("confirmed_ms_ago", routesAge().count())});
-    All.erase(id);
-    Port.reject(id, {ErrorKind::NoDatabase, "no route has this name"});
+    rejectStart(session, Event::SessionRejected,
+                {ErrorKind::NoDatabase, "no route has this name"});
     return;
   }
   auto account = accountOf(session);
   if (!account) {
-    telemetry::log(Event::KeyRejected,
-                   {field("database", session.Database.Value),
-                    field("version", Table.Version),
-                    field("confirmed_ms_ago", routesAge().count())});
-    All.erase(id);
-    Port.reject(id, {ErrorKind::KeyUnknown, "the key belongs to no account"});
+    rejectStart(session, Event::KeyRejected,
+                {ErrorKind::KeyUnknown, "the key belongs to no account"});
     return;
   }
   session.Account = *account;
   session.HandshakeDone = true;
-  Port.completeHandshake(id);
+  Port.completeHandshake(session.Id);
   advance(session);
 }
 
+void Sessions::rejectStart(const Session &session, Event event,
+                           const StatementError &why) {
+  telemetry::log(event, {field("database", session.Database.Value),
+                         field("version", Table.Version),
+                         field("confirmed_ms_ago", routesAge().count())});
+  auto id = session.Id;
+  All.erase(id);
+  Port.reject(id, why);
+}
+
 void Sessions::statement(CallerId caller, Statement it) {
   auto *session = find(caller);
   if (!session)
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -8,6 +8,7 @@
 #include "proxy/account_quotas.h"
 #include "proxy/groups.h"
 #include "proxy/metrics.h"
+#include "telemetry/events.h"
 
 #include <deque>
 #include <map>
@@ -158,6 +159,9 @@
 
   Session *find(CallerId caller);
   void acceptOrReject(Session &session);
+  /// Ends a session that has not begun. \p session is gone afterwards.
+  void rejectStart(const Session &session, telemetry::Event event,
+                   const StatementError &why);
   /// \return the account of a session by the current table; nothing if its key
   /// is needed and belongs to no account.
   std::optional<AccountName> accountOf(const Session &session) const;
