--- a/src/messages/lease.cpp
+++ b/src/messages/lease.cpp
@@ -198,6 +198,12 @@
   out.set_lease(it.Result.LeaseKept ? it.Lease.Value : 0);
   out.set_target_unreachable(it.Result.TargetUnreachable);
   out.set_queue_full(it.Result.QueueFull);
+  if (it.Result.Load) {
+    out.set_queued(it.Result.Load->Queued);
+    out.set_answer_time_us(toMicros(it.Result.Load->AnswerTime));
+  }
+  if (it.Result.RetryAfter)
+    out.set_retry_after_us(toMicros(*it.Result.RetryAfter));
   return out.SerializeAsString();
 }
 
@@ -215,6 +221,10 @@
   out.Result.LeaseKept = out.Lease.valid();
   out.Result.TargetUnreachable = in.target_unreachable();
   out.Result.QueueFull = in.queue_full();
+  if (in.has_queued())
+    out.Result.Load = {in.queued(), fromMicros(in.answer_time_us())};
+  if (in.has_retry_after_us())
+    out.Result.RetryAfter = fromMicros(in.retry_after_us());
   return out;
 }
 
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -51,6 +51,14 @@
   Lost,     ///< The connection broke or timed out; answers so far are valid.
 };
 
+/// The load on a target as its connection holder sees it.
+struct TargetLoad {
+  std::uint32_t Queued = 0; ///< Leases that wait at the holder.
+  Duration AnswerTime{};    ///< Median of recent statements.
+
+  auto operator<=>(const TargetLoad &) const = default;
+};
+
 struct BatchResult {
   BatchEnd End = BatchEnd::NotRun;
   std::vector<Answer> Answers; ///< In the order of the statements.
@@ -62,6 +70,10 @@
   /// Not run, because the queue for the target is longer than it can process
   /// within this request's wait.
   bool QueueFull = false;
+  /// Empty: the holder is of an earlier version, or did not answer.
+  std::optional<TargetLoad> Load{};
+  /// When a refused batch may fit again; empty: not known.
+  std::optional<Duration> RetryAfter{};
 
   auto operator<=>(const BatchResult &) const = default;
 };
--- a/tests/proxy/lease_message_test.cpp
+++ b/tests/proxy/lease_message_test.cpp
@@ -27,6 +27,8 @@
   answer.Result.End = BatchEnd::Complete;
   answer.Result.LeaseKept = true;
   answer.Lease = {7};
+  answer.Result.Load = {12, std::chrono::milliseconds(40)};
+  answer.Result.RetryAfter = std::chrono::milliseconds(300);
   answer.Result.Answers.resize(1);
   answer.Result.Answers[0].Rows = {"\xff", ""};
   answer.Result.Answers[0].Signature = "\xfd";
