--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -33,9 +33,9 @@
   PathUse(const PathUse &) = delete;
   PathUse &operator=(const PathUse &) = delete;
 
-  void end(bool failed, TimePoint now) {
+  void end(const BatchResult &result, TimePoint now) {
     if (auto *it = paths())
-      it->ended(By, failed, now);
+      it->ended(By, result.TargetUnreachable, result.Load, now);
     SharedPaths.reset();
   }
 
@@ -221,7 +221,11 @@
   auto *here = pool(target);
   if (paths == PathsByTarget.end() || !here)
     return Self.Vm;
-  return paths->second.choose(Self.Vm, here->isFree(account)).value_or(Self.Vm);
+  auto path = account.empty()
+                  ? paths->second.choose(Self.Vm, here->isFree(account))
+                  : paths->second.chooseFor(account, Self.Vm,
+                                            here->hasIdle(account), Time.now());
+  return path.value_or(Self.Vm);
 }
 
 LeaseId Groups::begin(const LeaseRequest &request, Batch first, OnBatch done) {
@@ -234,7 +238,7 @@
   auto target = request.Target;
   auto use = std::make_shared<PathUse>(SharedPaths, target, by);
   auto recordEnd = [this, use, done](BatchResult result) {
-    use->end(result.TargetUnreachable, Time.now());
+    use->end(result, Time.now());
     if (done)
       done(std::move(result));
   };
--- a/src/proxy/holder_paths.cpp
+++ b/src/proxy/holder_paths.cpp
@@ -1,6 +1,9 @@
 #include "proxy/holder_paths.h"
 
+#include "membership/stable_hash.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace peridotfall::proxy {
 
@@ -49,17 +52,55 @@
   return best ? best : failedPath;
 }
 
+std::size_t HolderPaths::loadOf(const PathState &it, TimePoint now) {
+  bool recent = it.ReportedAt && now - *it.ReportedAt < limits::QueueReportAge;
+  return it.Outstanding + (recent ? it.Queued : 0);
+}
+
+std::optional<VmName> HolderPaths::chooseFor(const AccountName &account,
+                                             const VmName &self, bool selfIdle,
+                                             TimePoint now) const {
+  std::vector<std::pair<std::uint64_t, const VmName *>> ranked;
+  for (const auto &it : Holders)
+    if (!States.at(it).FailingSince)
+      ranked.emplace_back(stableHash(it.Value, account.Value), &it);
+  if (ranked.empty())
+    return choose(self, false);
+  auto candidates = std::min(ranked.size(), limits::HoldersPerAccount);
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(candidates),
+                    ranked.end());
+  const VmName *best = nullptr;
+  std::size_t bestLoad = 0;
+  for (std::size_t n = 0; n < candidates; ++n) {
+    const auto *name = ranked[n].second;
+    if (selfIdle && *name == self)
+      return self;
+    auto load = loadOf(States.at(*name), now);
+    if (best && bestLoad <= load + limits::AffinityMargin)
+      continue;
+    best = name;
+    bestLoad = load;
+  }
+  return *best;
+}
+
 void HolderPaths::started(const VmName &by) {
   if (auto it = States.find(by); it != States.end())
     ++it->second.Outstanding;
 }
 
-void HolderPaths::ended(const VmName &by, bool failed, TimePoint now) {
+void HolderPaths::ended(const VmName &by, bool failed,
+                        const std::optional<TargetLoad> &load, TimePoint now) {
   auto found = States.find(by);
   if (found == States.end())
     return;
   dropped(by);
   auto &it = found->second;
+  if (load) {
+    it.Queued = load->Queued;
+    it.ReportedAt = now;
+  }
   if (!failed)
     it.FailingSince.reset();
   else if (!it.FailingSince) {
--- a/src/proxy/holder_paths.h
+++ b/src/proxy/holder_paths.h
@@ -6,8 +6,10 @@
 #ifndef PERIDOTFALL_PROXY_HOLDER_PATHS_H
 #define PERIDOTFALL_PROXY_HOLDER_PATHS_H
 
+#include "peridotfall/client_account.h"
 #include "peridotfall/clock.h"
 #include "peridotfall/names.h"
+#include "proxy/lease.h"
 
 #include <chrono>
 #include <cstddef>
@@ -39,6 +41,16 @@
 /// by the slots: as many holders as the connections allow would each send this
 /// minimum at once, and the target would refuse what is beyond its queue.
 inline constexpr std::size_t MinRunningPerHolder = 3;
+/// Holders among which an account's statements for one target are divided. With
+/// one, an account in a burst would wait at its holder while others have room;
+/// with all, each account would need connections at every holder.
+inline constexpr std::size_t HoldersPerAccount = 3;
+/// Leases by which an account's holder may be busier than the next one. A new
+/// connection takes about as long as this many statements.
+inline constexpr std::size_t AffinityMargin = 3;
+/// Age up to which a holder's reported queue is used. By then the leases that
+/// were queued have been served.
+inline constexpr std::chrono::milliseconds QueueReportAge{200};
 /// Interval between probes of a failed path.
 inline constexpr std::chrono::milliseconds PathProbeInterval{250};
 
@@ -59,6 +71,11 @@
                        std::size_t daemons);
 
 /// The paths to one target, one per connection holder. Not synchronised.
+///
+/// A connection serves one client account. With many accounts and a few
+/// connections at each holder, statements that go to any holder mostly find
+/// connections of other accounts and have new ones opened. So all daemons send
+/// an account's statements to the same holders.
 class HolderPaths {
 public:
   /// \param holders by rank. Holders that stay keep their state.
@@ -68,9 +85,17 @@
   /// \param self is preferred if it is a holder and \p selfFree.
   /// \return the holder to use. A failed path is used only if all have failed.
   std::optional<VmName> choose(const VmName &self, bool selfFree) const;
+  /// \param selfIdle whether \p self has an idle connection of the account.
+  /// \return the holder for a statement of the account, by rendezvous hashing;
+  /// the next ones if it is much busier. Without account, as above.
+  std::optional<VmName> chooseFor(const AccountName &account,
+                                  const VmName &self, bool selfIdle,
+                                  TimePoint now) const;
   void started(const VmName &by);
   /// \param failed whether the path failed, due to the target or the holder.
-  void ended(const VmName &by, bool failed, TimePoint now);
+  /// \param load that the holder reported.
+  void ended(const VmName &by, bool failed,
+             const std::optional<TargetLoad> &load, TimePoint now);
   /// The work was abandoned; this says nothing about the path.
   void dropped(const VmName &by);
   /// \return the failed paths that are due for a probe, and schedules their
@@ -84,8 +109,12 @@
     std::optional<TimePoint> FailingSince;
     TimePoint NextProbe{};
     std::size_t Outstanding = 0;
+    std::size_t Queued = 0; ///< Last reported.
+    std::optional<TimePoint> ReportedAt;
   };
 
+  static std::size_t loadOf(const PathState &it, TimePoint now);
+
   std::vector<VmName> Holders;
   std::map<VmName, PathState> States;
 };
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/events.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace peridotfall::proxy {
@@ -197,15 +198,28 @@
   it.Since = Time.now();
 }
 
-/// Closes the connection that was idle for longest, one whose account waits for
-/// it only if there is no other.
+double TargetPool::useOf(const AccountName &account) const {
+  auto it = Uses.find(account);
+  if (it == Uses.end())
+    return 0;
+  auto n = std::count_if(
+      Connections.begin(), Connections.end(),
+      [&](const auto &entry) { return entry.second.Account == account; });
+  return it->second.at(Time.now()) / static_cast<double>(std::max(n, {1}));
+}
+
+/// Closes an idle connection: one whose account waits for it only if there is
+/// no other; of these the one that its account needs least. By the time since
+/// its last use alone, the connections of a busy account would be closed as
+/// often as those of one that is hardly used.
 bool TargetPool::closeLeastUsed() {
-  using Rank = std::pair<bool, TimePoint>;
+  using Rank = std::tuple<bool, double, TimePoint>;
   std::optional<std::pair<Rank, ConnectionId>> least;
   for (const auto &[id, it] : Connections) {
     if (it.State != Phase::Idle)
       continue;
-    std::pair candidate{Rank{Waiting.isWanted(it.Account), it.Since}, id};
+    Rank rank{Waiting.isWanted(it.Account), useOf(it.Account), it.Since};
+    std::pair candidate{rank, id};
     if (!least || candidate < *least)
       least = candidate;
   }
@@ -307,8 +321,11 @@
   connection.Current.reset();
   running.Result.End = BatchEnd::Complete;
   LastAnswer = Time.now();
-  if (hasCallerStatement(running.Work))
+  running.Result.Load = load();
+  if (hasCallerStatement(running.Work)) {
     Waiting.addAnswerTime(LastAnswer - running.Sent);
+    Uses[connection.Account].add(LastAnswer - running.Sent, LastAnswer);
+  }
   bool idle = running.Result.Answers.back().State == TransactionState::Idle;
   running.Result.LeaseKept = !running.Work.EndsLease;
   bool ends = running.Work.EndsLease || connection.Abandoned;
@@ -400,6 +417,7 @@
   BatchResult result;
   result.Error = {ErrorKind::Busy, why};
   result.TargetUnreachable = Unreachable;
+  result.Load = load();
   // A silent target may be replaced soon, so its callers should keep waiting.
   result.QueueFull = !Unreachable && !Retired &&
                      Time.now() - LastAnswer < limits::SilenceThreshold;
@@ -419,6 +437,19 @@
     closeIdle();
 }
 
+TargetLoad TargetPool::load() const {
+  return {static_cast<std::uint32_t>(Waiting.size()), Waiting.answerTime()};
+}
+
+bool TargetPool::hasIdle(const AccountName &account) const {
+  return Waiting.empty() && running() < MaxRunning &&
+         std::any_of(Connections.begin(), Connections.end(),
+                     [&](const auto &it) {
+                       return it.second.State == Phase::Idle &&
+                              it.second.Account == account;
+                     });
+}
+
 bool TargetPool::isFree(const AccountName &account) const {
   bool idle =
       std::any_of(Connections.begin(), Connections.end(), [&](const auto &it) {
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -5,6 +5,7 @@
 #ifndef PERIDOTFALL_PROXY_TARGET_POOL_H
 #define PERIDOTFALL_PROXY_TARGET_POOL_H
 
+#include "proxy/decaying_sum.h"
 #include "proxy/directory.h"
 #include "proxy/lease.h"
 #include "proxy/wait_queue.h"
@@ -93,6 +94,8 @@
   void setCapacity(std::size_t connections, std::size_t running);
   /// \return whether a new lease would start without waiting for another.
   bool isFree(const AccountName &account) const;
+  /// \return whether a connection of the account is idle and nothing waits.
+  bool hasIdle(const AccountName &account) const;
   void update(const TargetEntry &target) { Target = target; }
   /// Refuses waiting and new leases; open leases continue.
   void retire();
@@ -148,6 +151,9 @@
   void dropConnection(ConnectionIt it, const char *why);
   void logLost(const Running &running, const char *why) const;
   void closeIdle();
+  TargetLoad load() const;
+  /// \return the recent use of the account by each of its connections.
+  double useOf(const AccountName &account) const;
   void refuse(Waiter &waiter, const char *why);
   void reportWait(const Waiter &waiter) const;
   void refuseWaiting(const char *why);
@@ -162,6 +168,8 @@
   std::map<ConnectionId, Connection> Connections;
   std::map<LeaseId, ConnectionId> Leases;
   WaitQueue Waiting;
+  /// Time that each account's statements took, with decay.
+  std::map<AccountName, DecayingSum> Uses;
   TimePoint LastAnswer{};
   TimePoint OpenAfter{};
   /// The last attempt to reach the target got no answer.
--- a/src/proxy/wait_queue.h
+++ b/src/proxy/wait_queue.h
@@ -74,6 +74,8 @@
   /// Records the answer time of a caller's statement.
   /// \param took from when it was sent.
   void addAnswerTime(Duration took) { AnswerTime.add(took); }
+  /// \return the median of recent answer times.
+  Duration answerTime() const { return AnswerTime.Value; }
 
 private:
   Duration expectedWait(const Waiter &waiter, std::size_t maxRunning) const;
--- a/tests/proxy/holder_paths_test.cpp
+++ b/tests/proxy/holder_paths_test.cpp
@@ -49,7 +49,7 @@
   TargetPaths.started(One);
   CHECK(TargetPaths.choose(Self, true) == Two);
   TargetPaths.started(Two);
-  TargetPaths.ended(One, false, Time.now());
+  TargetPaths.ended(One, false, {}, Time.now());
   CHECK(TargetPaths.choose(Self, true) == One);
 }
 
@@ -65,27 +65,27 @@
 // off, while another holder of the same target answers.
 TEST_CASE_FIXTURE(PathsFixture, "path that failed, is skipped and probed") {
   TargetPaths.started(One);
-  TargetPaths.ended(One, true, Time.now());
+  TargetPaths.ended(One, true, {}, Time.now());
   CHECK(TargetPaths.choose(Self, true) == Two);
   CHECK_FALSE(TargetPaths.unreachableSince());
   CHECK(TargetPaths.probesDue(Time.now()).empty());
   Time.advance(limits::PathProbeInterval);
   CHECK(TargetPaths.probesDue(Time.now()) == std::vector<VmName>{One});
   CHECK(TargetPaths.probesDue(Time.now()).empty());
-  TargetPaths.ended(One, false, Time.now());
+  TargetPaths.ended(One, false, {}, Time.now());
   CHECK(TargetPaths.choose(Self, true) == One);
 }
 
 TEST_CASE_FIXTURE(PathsFixture, "all paths failed, target is unreachable") {
   auto first = Time.now();
-  TargetPaths.ended(One, true, first);
+  TargetPaths.ended(One, true, {}, first);
   Time.advance(milliseconds(100));
-  TargetPaths.ended(Two, true, Time.now());
+  TargetPaths.ended(Two, true, {}, Time.now());
   CHECK(TargetPaths.unreachableSince() == Time.now());
   CHECK(TargetPaths.choose(Self, true) == One);
   TargetPaths.setHolders({Two});
   CHECK(TargetPaths.unreachableSince());
-  TargetPaths.ended(Two, false, Time.now());
+  TargetPaths.ended(Two, false, {}, Time.now());
   CHECK_FALSE(TargetPaths.unreachableSince());
 }
 
