--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -28,6 +28,9 @@
   return isSigned(statement.Kind) == unsignedAnswer;
 }
 
+/// Seconds of an account's decayed use below which it counts as unused.
+constexpr double NegligibleUse = 1e-4;
+
 bool hasCallerStatement(const Batch &it) {
   return std::any_of(it.Statements.begin(), it.Statements.end(),
                      [](const Statement &s) { return !s.Id.empty(); });
@@ -495,6 +498,10 @@
   }
   for (auto &it : Waiting.takeExpired(now))
     refuse(it, "no connection free in time");
+  // Accounts come and go; the sums of former ones would pile up.
+  std::erase_if(Uses, [&](const auto &it) {
+    return it.second.at(now) < NegligibleUse;
+  });
   assign();
 }
 
