--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -28,8 +28,11 @@
   return isSigned(statement.Kind) == unsignedAnswer;
 }
 
-/// Seconds of an account's decayed use below which it counts as unused.
-constexpr double NegligibleUse = 1e-4;
+/// Accounts whose use is known before those that are hardly used any more are
+/// forgotten.
+constexpr std::size_t MaxTrackedAccounts = 256;
+/// Seconds of decayed use.
+constexpr double NegligibleUse = 1e-3;
 
 bool hasCallerStatement(const Batch &it) {
   return std::any_of(it.Statements.begin(), it.Statements.end(),
@@ -201,6 +204,16 @@
   it.Since = Time.now();
 }
 
+void TargetPool::addUse(const AccountName &account, Duration took) {
+  auto now = Time.now();
+  Uses[account].add(took, now);
+  if (Uses.size() <= MaxTrackedAccounts)
+    return;
+  std::erase_if(Uses, [now](const auto &it) {
+    return it.second.at(now) < NegligibleUse;
+  });
+}
+
 double TargetPool::useOf(const AccountName &account) const {
   auto it = Uses.find(account);
   if (it == Uses.end())
@@ -327,7 +340,7 @@
   running.Result.Load = load();
   if (hasCallerStatement(running.Work)) {
     Waiting.addAnswerTime(LastAnswer - running.Sent);
-    Uses[connection.Account].add(LastAnswer - running.Sent, LastAnswer);
+    addUse(connection.Account, LastAnswer - running.Sent);
   }
   bool idle = running.Result.Answers.back().State == TransactionState::Idle;
   running.Result.LeaseKept = !running.Work.EndsLease;
@@ -498,10 +511,6 @@
   }
   for (auto &it : Waiting.takeExpired(now))
     refuse(it, "no connection free in time");
-  // Accounts come and go; the sums of former ones would pile up.
-  std::erase_if(Uses, [&](const auto &it) {
-    return it.second.at(now) < NegligibleUse;
-  });
   assign();
 }
 
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -152,6 +152,7 @@
   void logLost(const Running &running, const char *why) const;
   void closeIdle();
   TargetLoad load() const;
+  void addUse(const AccountName &account, Duration took);
   /// \return the recent use of the account by each of its connections.
   double useOf(const AccountName &account) const;
   void refuse(Waiter &waiter, const char *why);
