--- a/src/proxy/holder_paths.h
+++ b/src/proxy/holder_paths.h
@@ -29,7 +29,7 @@
 inline constexpr std::size_t ConnectionsPerHolder = 5;
 /// Share of a target's connections that the plan hands out; the rest is for
 /// daemons that use an older member list.
-inline constexpr double PlannedShare = 0.95;
+inline constexpr double PlannedShare = 0.5;
 /// Statements sent to a target at once per slot, over all holders. An
 /// overloaded target refuses what is beyond its queue, orders and lookups
 /// alike, and its queue knows no priorities. Six statements per slot keep it
