Proxy: few connections are opened while statements wait for open ones

Opening a connection takes a slot of the target for 12 ms and waits in its queue first. Openings were only allowed while fewer statements ran than may run at once, but did not count when statements were started: under lasting load each statement that ended was replaced by one with a connection, and accounts without one waited until they were refused.

Connections that are opened for accounts now count towards what may run at once, and at most one in four of that, rounded up, is such a connection while statements wait for open ones. Batches report their work to the fair order.

--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -137,6 +137,10 @@
         if (OnWaited)
           OnWaited(waited);
       };
+      pool->OnRefused = [this](QueueRefusal why) {
+        if (OnRefused)
+          OnRefused(why);
+      };
       telemetry::log(Event::TargetFound, {field("target", name.Value),
                                           field("group", it.Group.Value),
                                           field("address", it.Address),
@@ -472,6 +476,7 @@
     out.Opening += stats.Opening;
     out.Idle += stats.Idle;
     out.Waiting += stats.Waiting;
+    out.MostByAccount = std::max(out.MostByAccount, stats.MostByAccount);
   }
   return out;
 }
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -131,10 +131,12 @@
                      const BatchResult &result, bool plain, TimePoint sent);
   /// Called with the time that each lease waited for a connection here.
   std::function<void(Duration)> OnWaited;
+  /// Called for each lease that a queue here has refused.
+  std::function<void(QueueRefusal)> OnRefused;
   /// Called when a group's leader becomes known.
   std::function<void(const GroupName &)> OnLeaderKnown;
   void tick();
-  /// \return the sums over all targets.
+  /// \return the sums over all targets; of MostByAccount the maximum.
   PoolStats poolStats() const;
 
   /// Runs \p action on the pools that may hold the target's connections.
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::array<const char *, WaitReasons> WaitReasonNames{
     "primary", "replica", "slot", "connection"};
+constexpr std::array<const char *, QueueRefusals> QueueRefusalNames{
+    "expired", "too_long", "displaced"};
 constexpr std::array<const char *, ChangeParts> ChangePartNames{
     "notice", "evidence", "choice", "call", "lead"};
 
@@ -80,6 +82,11 @@
                            "them, by what they waited for.");
   for (std::size_t n = 0; n < WaitReasons; ++n)
     it.Waits[n] = &waits.Add({{"for", WaitReasonNames[n]}}, buckets());
+  auto &byQueue = counters(to, "peridotfall_queue_refusals_total",
+                           "Statements that the queue for a target's "
+                           "connections here did not run, by reason.");
+  for (std::size_t n = 0; n < QueueRefusals; ++n)
+    it.RefusedByQueue[n] = &byQueue.Add({{"reason", QueueRefusalNames[n]}});
   it.Answers = &counters(to, "peridotfall_target_answers_total",
                          "Answers of targets to statements, by what they say; "
                          "none: the connection was lost or silent.");
@@ -136,6 +143,10 @@
   it.Waits[static_cast<std::size_t>(place)]->Observe(secondsOf(waited));
 }
 
+void countQueueRefusal(ProxyMetrics &it, QueueRefusal why) {
+  it.RefusedByQueue[static_cast<std::size_t>(why)]->Increment();
+}
+
 void countAnswer(ProxyMetrics &it, const std::optional<StatementError> &error) {
   if (error)
     it.Answers->Add({{"answer", nameOf(error->Kind)}}).Increment();
@@ -181,6 +192,7 @@
   set("target_connections_open", static_cast<double>(now.ConnectionsOpen));
   set("target_connections_idle", static_cast<double>(now.ConnectionsIdle));
   set("waiting_for_connection", static_cast<double>(now.Waiting));
+  set("waiting_of_one_account", static_cast<double>(now.WaitingOfOneAccount));
   set("daemons_alive", static_cast<double>(now.Members));
   set("configuration_version", static_cast<double>(now.Version));
   set("holds_failover_duty", now.IsFailoverLeader ? 1 : 0);
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -7,6 +7,7 @@
 #include "peridotfall/clock.h"
 #include "proxy/directory.h"
 #include "proxy/statement.h"
+#include "proxy/wait_queue.h"
 
 #include <array>
 #include <memory>
@@ -67,6 +68,7 @@
   std::size_t ConnectionsOpen = 0;
   std::size_t ConnectionsIdle = 0;
   std::size_t Waiting = 0;
+  std::size_t WaitingOfOneAccount = 0; ///< At one target, the most.
   std::size_t Members = 0;
   std::uint64_t Version = 0; ///< Of the current configuration.
   bool IsFailoverLeader = false;
@@ -92,6 +94,7 @@
   Histogram ReplicaReadAge = nullptr;
   Histogram RefusedWait = nullptr;
   std::array<Histogram, WaitReasons> Waits{};
+  std::array<Counter, QueueRefusals> RefusedByQueue{};
   Counter AnswersOk = nullptr;
   Family Answers = nullptr; ///< Errors, by kind.
   std::array<Histogram, ChangeParts> ChangeSeconds{};
@@ -111,6 +114,7 @@
 void countRefusal(ProxyMetrics &it, const std::string &why, Duration waited);
 void countRetry(ProxyMetrics &it, const std::string &why);
 void countWait(ProxyMetrics &it, WaitReason place, Duration waited);
+void countQueueRefusal(ProxyMetrics &it, QueueRefusal why);
 /// \param error of the target's answer; empty for a success.
 void countAnswer(ProxyMetrics &it, const std::optional<StatementError> &error);
 /// Counts a statement that was sent to a target and not answered.
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -21,6 +21,9 @@
   Targets.OnWaited = [this](Duration waited) {
     countWait(Metrics, WaitReason::Connection, waited);
   };
+  Targets.OnRefused = [this](QueueRefusal why) {
+    countQueueRefusal(Metrics, why);
+  };
 }
 
 Sessions::Session *Sessions::find(CallerId caller) {
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -115,19 +115,29 @@
       }));
 }
 
+/// Without accounts connections are opened too rarely to matter.
+std::size_t TargetPool::occupied() const {
+  return running() +
+         static_cast<std::size_t>(std::count_if(
+             Connections.begin(), Connections.end(), [](const auto &it) {
+               return it.second.State == Phase::Opening &&
+                      !it.second.Account.empty();
+             }));
+}
+
 /// Starts waiting leases on idle connections of their account, in order. A
 /// lease without one gets a connection opened, before later leases are served:
 /// else a busy account could keep all connections. No more than MaxRunning are
 /// sent at once, as an overloaded target refuses what is beyond its queue
 /// whatever its priority. Statements of open transactions do not wait here.
 void TargetPool::assign() {
-  if (Waiting.empty() || running() >= MaxRunning)
+  if (Waiting.empty() || occupied() >= MaxRunning)
     return;
   std::map<AccountName, std::size_t> unclaimed;
   for (const auto &[id, it] : Connections)
     unclaimed[it.Account] += it.State == Phase::Opening;
   for (auto lease : Waiting.order(Time.now())) {
-    if (running() >= MaxRunning)
+    if (occupied() >= MaxRunning)
       return;
     if (!Waiting.contains(lease))
       continue;
@@ -137,7 +147,7 @@
       startWaiting(it, lease);
     else if (opening > 0)
       --opening;
-    else if (mayOpen())
+    else if (mayOpen(waiter.Account))
       openFor(waiter.Account);
   }
 }
@@ -153,8 +163,10 @@
     return;
   }
   reportWait(waiter);
+  it->second.Priority = waiter.Priority;
   start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done),
         waiter.AnswerDeadline);
+  it->second.Current->BeginsLease = true;
 }
 
 /// \return the connection that needs the fewest set-up statements.
@@ -182,9 +194,21 @@
 /// connections were lost, one connection for each would delay them: opening one
 /// takes a slot of the target for 12 to 27 ms, more than most statements need.
 /// So none is opened for a statement that may not run yet.
-bool TargetPool::mayOpen() const {
-  return !Retired && Time.now() >= OpenAfter &&
-         opening() + running() < MaxRunning;
+bool TargetPool::mayOpen(const AccountName &account) const {
+  auto opened = opening();
+  if (Retired || Time.now() < OpenAfter || opened + running() >= MaxRunning)
+    return false;
+  auto most =
+      (MaxRunning + limits::RunningPerOpening - 1) / limits::RunningPerOpening;
+  return account.empty() || opened < most || !isConnectionWanted();
+}
+
+bool TargetPool::isConnectionWanted() const {
+  return std::any_of(
+      Connections.begin(), Connections.end(), [&](const auto &entry) {
+        const auto &it = entry.second;
+        return it.State != Phase::Opening && Waiting.isWanted(it.Account);
+      });
 }
 
 void TargetPool::openFor(const AccountName &account) {
@@ -322,10 +346,7 @@
   running.Result.End = BatchEnd::Complete;
   LastAnswer = Time.now();
   running.Result.Load = load();
-  if (hasCallerStatement(running.Work)) {
-    Waiting.addAnswerTime(LastAnswer - running.Sent);
-    Uses[connection.Account].add(LastAnswer - running.Sent, LastAnswer);
-  }
+  recordWork(connection, running);
   bool idle = running.Result.Answers.back().State == TransactionState::Idle;
   running.Result.LeaseKept = !running.Work.EndsLease;
   bool ends = running.Work.EndsLease || connection.Abandoned;
@@ -349,6 +370,23 @@
     running.Done(std::move(running.Result));
 }
 
+/// Only the first batch of a transaction is known when its lease is queued. Its
+/// later ones are charged when they have run, or accounts with transactions
+/// would get more than their turns.
+void TargetPool::recordWork(const Connection &connection,
+                            const Running &finished) {
+  auto took = LastAnswer - finished.Sent;
+  bool isCallers = hasCallerStatement(finished.Work);
+  if (isCallers) {
+    Waiting.addAnswerTime(took);
+    Uses[connection.Account].add(took, LastAnswer);
+  }
+  if (finished.BeginsLease && !isProbe(finished.Work))
+    Waiting.addWork(finished.Work.EndsLease, took);
+  else if (isCallers)
+    Waiting.charge(connection.Priority, connection.Account, took);
+}
+
 void TargetPool::rollBack(ConnectionIt it) {
   auto lease = it->second.Lease;
   it->second.Abandoned = true;
@@ -421,6 +459,8 @@
   // A silent target may be replaced soon, so its callers should keep waiting.
   result.QueueFull = !Unreachable && !Retired &&
                      Time.now() - LastAnswer < limits::SilenceThreshold;
+  if (result.QueueFull)
+    result.RetryAfter = Waiting.retryAfter(waiter, MaxRunning, Time.now());
   waiter.Done(std::move(result));
 }
 
@@ -442,7 +482,7 @@
 }
 
 bool TargetPool::hasIdle(const AccountName &account) const {
-  return Waiting.empty() && running() < MaxRunning &&
+  return Waiting.empty() && occupied() < MaxRunning &&
          std::any_of(Connections.begin(), Connections.end(),
                      [&](const auto &it) {
                        return it.second.State == Phase::Idle &&
@@ -455,7 +495,7 @@
       std::any_of(Connections.begin(), Connections.end(), [&](const auto &it) {
         return it.second.State == Phase::Idle && it.second.Account == account;
       });
-  return Waiting.empty() && running() < MaxRunning &&
+  return Waiting.empty() && occupied() < MaxRunning &&
          (idle || Connections.size() < Capacity);
 }
 
@@ -493,11 +533,25 @@
       Port.close(it->first);
     it = expired ? Connections.erase(it) : std::next(it);
   }
-  for (auto &it : Waiting.takeExpired(now))
-    refuse(it, "no connection free in time");
+  refuseExpired();
   assign();
 }
 
+void TargetPool::refuseExpired() {
+  for (auto &it : Waiting.takeExpired(Time.now())) {
+    bool displaced = it.Refusal == QueueRefusal::Displaced;
+    if (OnRefused)
+      OnRefused(it.Refusal);
+    if (displaced)
+      telemetry::log(Event::LeaseDisplaced, {field("target", Target.Name.Value),
+                                             field("account", it.Account.Value),
+                                             field("priority", it.Priority),
+                                             field("waiting", Waiting.size())});
+    refuse(it, displaced ? "displaced by another account"
+                         : "no connection free in time");
+  }
+}
+
 void TargetPool::retire() {
   Retired = true;
   refuseWaiting("target is leaving");
@@ -513,6 +567,7 @@
 PoolStats TargetPool::stats() const {
   PoolStats out;
   out.Waiting = Waiting.size();
+  out.MostByAccount = Waiting.mostByAccount();
   for (const auto &it : Connections) {
     ++out.Open;
     out.Opening += it.second.State == Phase::Opening;
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -37,6 +37,11 @@
 inline constexpr milliseconds SilenceThreshold{250};
 /// Timeout of a rollback that the proxy sends by itself.
 inline constexpr milliseconds RollbackTimeout{500};
+/// Of what may run at once, one in this many, rounded up, may be a connection
+/// being opened while statements wait for connections that are open. Opening
+/// one takes a slot of the target for longer than most statements, so with
+/// accounts that come and go the slots would be spent on connections.
+inline constexpr std::size_t RunningPerOpening = 4;
 
 } // namespace limits
 
@@ -60,6 +65,7 @@
   std::size_t Opening = 0;
   std::size_t Idle = 0;
   std::size_t Waiting = 0;
+  std::size_t MostByAccount = 0; ///< Of these, those of one account.
 
   auto operator<=>(const PoolStats &) const = default;
 };
@@ -73,6 +79,8 @@
 
   /// Called with the time that each lease has waited for a connection.
   std::function<void(Duration)> OnWaited;
+  /// Called for each lease that is refused because of the queue.
+  std::function<void(QueueRefusal)> OnRefused;
 
   LeaseId begin(const LeaseRequest &request, Batch first, OnBatch done);
   void run(LeaseId lease, Batch next, OnBatch done);
@@ -116,6 +124,7 @@
     std::size_t AnswersReceived = 0; ///< Those of the set-up included.
     BatchResult Result;
     OnBatch Done;
+    bool BeginsLease = false;
     TimePoint Sent;
     TimePoint AnswerDeadline;
   };
@@ -123,6 +132,7 @@
     Phase State = Phase::Opening;
     /// All caller statements on the connection are this account's.
     AccountName Account;
+    unsigned Priority = 0; ///< Of the lease.
     ConnectionEnvironment Environment;
     LeaseId Lease;
     std::optional<Running> Current;
@@ -137,15 +147,23 @@
              TimePoint end);
   std::size_t running() const;
   std::size_t opening() const;
+  /// \return what counts towards MaxRunning when leases are started: running
+  /// statements, and connections being opened for accounts. If these were not
+  /// counted, each statement that ends would be replaced by one that has a
+  /// connection, and none would be opened under lasting load.
+  std::size_t occupied() const;
   ConnectionIt bestIdle(const Waiter &waiter);
   void startWaiting(ConnectionIt it, LeaseId lease);
-  /// \return whether a connection may be opened now.
-  bool mayOpen() const;
+  /// \return whether a connection may be opened for the account now.
+  bool mayOpen(const AccountName &account) const;
+  /// \return whether a lease waits whose account has an open connection.
+  bool isConnectionWanted() const;
   /// Opens a connection for the account, in place of one of another account if
   /// there is no room.
   void openFor(const AccountName &account);
   bool closeLeastUsed();
   void finish(ConnectionIt it);
+  void recordWork(const Connection &connection, const Running &finished);
   void rollBack(ConnectionIt it);
   /// Closes the connection and ends its batch as lost.
   void dropConnection(ConnectionIt it, const char *why);
@@ -155,6 +173,7 @@
   /// \return the recent use of the account by each of its connections.
   double useOf(const AccountName &account) const;
   void refuse(Waiter &waiter, const char *why);
+  void refuseExpired();
   void reportWait(const Waiter &waiter) const;
   void refuseWaiting(const char *why);
 
