Sessions: the queue's retry delay is passed on to the caller

Where the queue for a target refused a statement, its caller was told to return after 150 ms, as were all others, so that they returned together. The delay that the queue has computed for this caller is used instead; without one, from an earlier version or without an account, 150 ms applies.

--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -46,8 +46,8 @@
 /// Retry-after for callers whose statement found no primary: about what is left
 /// of a change of primary after a statement has waited for it.
 inline constexpr milliseconds PrimaryRetryAfter{400};
-/// Retry-after where all connections or slots were taken: the execution time of
-/// some statements.
+/// Retry-after where all connections or slots were taken, unless the queue that
+/// refused has reported one: the execution time of some statements.
 inline constexpr milliseconds BusyRetryAfter{150};
 /// Statements that a session may send before they are answered. Bounds memory.
 inline constexpr std::size_t MaxPipelinedStatements = 64;
@@ -138,6 +138,8 @@
     LeaseId Lease;
     Batch Sent;
     TimePoint SentAt;
+    /// Reported by the queue that refused the last attempt.
+    std::optional<Duration> QueueRetryAfter;
   };
   struct Session {
     CallerId Id;
@@ -190,6 +192,8 @@
   /// \return when the answer stops being useful to the caller (the route's
   /// goal); nothing: it has no such time.
   static std::optional<TimePoint> goalOf(const StatementRun &run);
+  /// \return the retry-after for a statement that found no connection or slot.
+  static milliseconds busyRetryAfter(const StatementRun &run);
   /// \return when a statement stops waiting for a primary.
   static TimePoint primaryWaitDeadline(const StatementRun &run);
   void park(Session &session);
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -194,6 +194,15 @@
   return run.StartedAt + run.AssignedRoute.Goal;
 }
 
+milliseconds Sessions::busyRetryAfter(const StatementRun &run) {
+  if (!run.QueueRetryAfter)
+    return limits::BusyRetryAfter;
+  // It may come from another daemon.
+  return std::clamp<milliseconds>(
+      std::chrono::ceil<milliseconds>(*run.QueueRetryAfter),
+      limits::MinQueueRetryAfter, limits::MaxQueueRetryAfter);
+}
+
 TimePoint Sessions::primaryWaitDeadline(const StatementRun &run) {
   return run.StartedAt +
          share(run.AssignedRoute.StatementLimit, limits::PrimaryWaitShare);
@@ -281,7 +290,7 @@
   auto now = Time.now();
   auto left = run.Deadline - now;
   if (left < limits::MinAttemptTime) {
-    refuse(session, limits::BusyRetryAfter, "no time left");
+    refuse(session, busyRetryAfter(run), "no time left");
     return;
   }
   auto batch = composeFirstBatch(session, atPrimary, notBefore);
@@ -346,6 +355,7 @@
 void Sessions::handleFirstResult(Session &session, const BatchResult &result) {
   auto &run = *session.Current;
   run.InFlight = false;
+  run.QueueRetryAfter = result.RetryAfter;
   if (auto *group = Targets.find(run.AssignedRoute.Group))
     report(session, *group, result);
   switch (result.End) {
@@ -357,7 +367,7 @@
     // Only the primary can run this statement, and waiting longer would leave
     // the caller no time to retry.
     if (result.QueueFull && isAtPrimary(run))
-      refuse(session, limits::BusyRetryAfter, "more waits than runs in time");
+      refuse(session, busyRetryAfter(run), "more waits than runs in time");
     else
       retry(session, result.Error.Kind);
     return;
@@ -514,7 +524,7 @@
   if (now + limits::MinAttemptTime >= run.Deadline ||
       run.Attempts >= limits::MaxAttempts) {
     refuse(session,
-           run.PrimaryOnly ? limits::PrimaryRetryAfter : limits::BusyRetryAfter,
+           run.PrimaryOnly ? limits::PrimaryRetryAfter : busyRetryAfter(run),
            nameOf(why));
     return;
   }
@@ -529,7 +539,7 @@
   auto span = std::min(limits::BusyRetryDelay * run.Attempts,
                        limits::MaxBusyRetryDelay);
   if (now + span >= primaryWaitDeadline(run))
-    refuse(session, limits::BusyRetryAfter, nameOf(ErrorKind::Busy));
+    refuse(session, busyRetryAfter(run), nameOf(ErrorKind::Busy));
   else
     pause(run, WaitReason::Slot, now + span);
 }
--- a/tests/proxy/accounts_test.cpp
+++ b/tests/proxy/accounts_test.cpp
@@ -116,6 +116,35 @@
 
 } // namespace
 
+// With one delay for all, the refused callers of an account in a burst return
+// together and are refused again.
+TEST_CASE_FIXTURE(AccountsFixture,
+                  "queue refuses an account's statements, its callers return "
+                  "one after the other") {
+  constexpr milliseconds AnswerTime{60};
+  auto first = sessionWith("k1");
+  send(first, StatementKind::Read, "READ a");
+  completeHandshakes();
+  Time.advance(AnswerTime);
+  serve("p", TransactionState::Open);
+  REQUIRE(last(first).ok());
+  std::vector<CallerId> callers;
+  for (int n = 0; n < 150; ++n) {
+    callers.push_back(sessionWith("k1"));
+    send(callers.back(), StatementKind::Read, "READ a");
+  }
+  pass(milliseconds(20));
+  std::vector<std::string> refusals;
+  for (auto it : callers)
+    if (!answers(it).empty())
+      refusals.push_back(last(it).Error->Detail);
+  REQUIRE(refusals.size() > 20);
+  std::sort(refusals.begin(), refusals.end());
+  auto end = std::unique(refusals.begin(), refusals.end());
+  CHECK(end - refusals.begin() > 10);
+  CHECK(refusals[0].starts_with("more waits than runs in time; retry-after"));
+}
+
 TEST_CASE_FIXTURE(AccountsFixture,
                   "session, unknown key or none, is rejected at once") {
   CHECK(isRejected(sessionWith("k9")));
