Proxy: half of a target's connections are planned where they serve accounts

Cause: with an account's statements at the same holders, nearly all planned connections (95 % of those that a target accepts) are open. When all VMs lose power, the target counts these for 3 s, and the restarted daemons are refused new ones.

Change: where the configuration has client accounts, holders plan half of the connections, so that the former ones and as many new ones fit.

--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -171,7 +171,9 @@
   assignConnections();
 }
 
-void Groups::applySettings(const std::map<GroupName, GroupSettings> &settings) {
+void Groups::applySettings(const std::map<GroupName, GroupSettings> &settings,
+                           bool byAccount) {
+  ByAccount = byAccount;
   for (const auto &[name, it] : settings) {
     auto &group = ByName[name];
     if (!group)
@@ -197,8 +199,9 @@
     auto *group = find(target.Group);
     if (!group)
       continue;
-    auto plan = planHolders(group->Settings.MaxConnections, target.Slots,
-                            Ranks.eligible());
+    auto plan = planHolders(
+        group->Settings.MaxConnections, target.Slots, Ranks.eligible(),
+        ByAccount ? limits::PlannedShareByAccount : limits::PlannedShare);
     auto holders = Ranks.first(target, plan.Holders);
     bool holds =
         std::find(holders.begin(), holders.end(), Self.Vm) != holders.end();
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -95,7 +95,9 @@
 
   /// \param targets the platform's complete list.
   void updateTargets(const TargetList &targets);
-  void applySettings(const std::map<GroupName, GroupSettings> &settings);
+  /// \param byAccount whether each connection serves one client account.
+  void applySettings(const std::map<GroupName, GroupSettings> &settings,
+                     bool byAccount = false);
   /// \param limit time in which a leaving target may get new work.
   void setLeavingLimit(milliseconds limit) { LeavingLimit = limit; }
   /// \param live daemons among which the targets' connections are divided.
@@ -173,6 +175,7 @@
   RelayPort &Relay;
   const Clock &Time;
   milliseconds LeavingLimit = limits::LeavingLimit;
+  bool ByAccount = false; ///< Each connection serves one client account.
   HolderRanks Ranks;
   std::uint64_t LastLease = 0;
   std::vector<OnBatch> UnservedBatches;
--- a/src/proxy/holder_paths.cpp
+++ b/src/proxy/holder_paths.cpp
@@ -8,9 +8,9 @@
 namespace peridotfall::proxy {
 
 HolderPlan planHolders(std::size_t connections, std::size_t slots,
-                       std::size_t daemons) {
-  auto planned = static_cast<std::size_t>(static_cast<double>(connections) *
-                                          limits::PlannedShare);
+                       std::size_t daemons, double plannedShare) {
+  auto planned =
+      static_cast<std::size_t>(static_cast<double>(connections) * plannedShare);
   auto running = slots * limits::RunningPerSlot;
   auto maxHolders = std::min(planned / limits::ConnectionsPerHolder,
                              running / limits::MinRunningPerHolder);
--- a/src/proxy/holder_paths.h
+++ b/src/proxy/holder_paths.h
@@ -29,7 +29,12 @@
 inline constexpr std::size_t ConnectionsPerHolder = 5;
 /// Share of a target's connections that the plan hands out; the rest is for
 /// daemons that use an older member list.
-inline constexpr double PlannedShare = 0.5;
+inline constexpr double PlannedShare = 0.95;
+/// The same where a connection serves one client account. All planned
+/// connections are then open most of the time. A target counts those of VMs
+/// that lost power for some seconds; if these were nearly all, the daemons that
+/// are back could open none meanwhile.
+inline constexpr double PlannedShareByAccount = 0.5;
 /// Statements sent to a target at once per slot, over all holders. An
 /// overloaded target refuses what is beyond its queue, orders and lookups
 /// alike, and its queue knows no priorities. Six statements per slot keep it
@@ -67,8 +72,10 @@
 
 /// \param connections that the target accepts.
 /// \param slots of the target.
+/// \param plannedShare of the connections that are divided.
 HolderPlan planHolders(std::size_t connections, std::size_t slots,
-                       std::size_t daemons);
+                       std::size_t daemons,
+                       double plannedShare = limits::PlannedShare);
 
 /// The paths to one target, one per connection holder. Not synchronised.
 ///
--- a/tests/proxy/holder_paths_test.cpp
+++ b/tests/proxy/holder_paths_test.cpp
@@ -43,6 +43,15 @@
       }
 }
 
+// Guards against seconds without service after all VMs lost power: the target
+// counts their connections for a while.
+TEST_CASE("connections of accounts, those of lost VMs and new ones fit") {
+  for (std::size_t connections : {16, 36, 70, 186}) {
+    auto plan = planHolders(connections, 4, 77, limits::PlannedShareByAccount);
+    CHECK(2 * plan.Holders * plan.Connections <= connections);
+  }
+}
+
 TEST_CASE_FIXTURE(PathsFixture,
                   "statements of one daemon, spread over holders") {
   CHECK(TargetPaths.choose(Self, true) == One);
