Quotas: daemons delegate shares of each limit to counters

Cause: each side of a network partition had a counter that granted the full rate, daemons without a counter granted from shares of their own besides, and a counter stayed current forever after its first use.

Change: each registered daemon owns an equal share of every limit and delegates it to at most one counter at a time, for 1 s from the counter's challenge (src/quota/share_delegation). A counter grants from a bucket that refills at (rate x Window + burst) / Window times the shares that it holds, and whose depth is their part of the granted excess (src/quota/paced_bucket). Half of the daemons prefer either counter of a partition; what one refuses is asked of the other once. A daemon limits the operations that no counter knows of, and asks after a report without an answer. QuotaBucket is gone; its tests are those of PacedBucket.

The test that an unused account sends no messages is replaced: delegations must be renewed. At most one message a daemon each 250 ms is allowed, and none without accounts that have a quota. All other existing tests are as before.

--- a/include/peridotfall/quota.h
+++ b/include/peridotfall/quota.h
@@ -6,7 +6,6 @@
 #define PERIDOTFALL_QUOTA_H
 
 #include "peridotfall/client_account.h"
-#include "peridotfall/clock.h"
 
 #include <chrono>
 #include <compare>
@@ -40,38 +39,17 @@
 QuotaMode initialMode(const AccountQuota &quota,
                       const QuotaTolerance &tolerance, std::size_t daemons);
 
+/// \return the operations of an account that a daemon may run before the
+/// counter knows of them. Over all daemons they are covered by the excess that
+/// isn't granted and by what is left when daemons are told to ask.
+std::size_t unreportedLimit(const AccountQuota &quota,
+                            const QuotaTolerance &tolerance,
+                            std::size_t daemons);
+
 /// Share of the tolerated excess that is granted. The rest is for operations
 /// that are run before their report has arrived.
 inline constexpr double GrantedExcess = 0.5;
 
-/// The operations that an account may still run, as a token bucket.
-class QuotaBucket {
-public:
-  /// Begins empty: what was run before is unknown.
-  /// \param excess operations that may be granted beyond the quota.
-  QuotaBucket(AccountQuota quota, double excess, TimePoint now);
-
-  /// Applies another limit; the bucket keeps its level as far as it fits.
-  void update(const AccountQuota &quota, double excess, TimePoint now);
-  /// Empties the bucket, as what was run before is unknown.
-  void clear(TimePoint now);
-  /// Counts operations that have been run.
-  void spend(std::uint32_t n, TimePoint now);
-  /// \return how many of \p wanted operations may be run. They are counted.
-  std::uint32_t take(std::uint32_t wanted, TimePoint now);
-  QuotaMode mode(TimePoint now);
-  /// \return the time until the next operation may be run.
-  Duration untilNext(TimePoint now);
-
-private:
-  void refill(TimePoint now);
-
-  AccountQuota Quota;
-  double Excess = 0;
-  double Level = 0;
-  TimePoint Filled;
-};
-
 } // namespace peridotfall
 
 #endif // PERIDOTFALL_QUOTA_H
--- a/src/messages/quota.h
+++ b/src/messages/quota.h
@@ -5,6 +5,7 @@
 #ifndef PERIDOTFALL_MESSAGES_QUOTA_H
 #define PERIDOTFALL_MESSAGES_QUOTA_H
 
+#include "peridotfall/clock.h"
 #include "peridotfall/names.h"
 #include "peridotfall/quota.h"
 #include "peridotfall/result.h"
--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -1,6 +1,7 @@
 #include "proxy/account_quotas.h"
 
 #include "http/status.h"
+#include "membership/stable_hash.h"
 #include "telemetry/events.h"
 
 #include <algorithm>
@@ -20,15 +21,6 @@
                     limits::MinRefusal, limits::MaxRefusal);
 }
 
-/// \return one daemon's part of a limit, at least one operation to begin with.
-QuotaBucket shareOf(const AccountQuota &quota, const QuotaTolerance &tolerance,
-                    std::size_t daemons, TimePoint now) {
-  auto n = static_cast<double>(std::max<std::size_t>(daemons, 1));
-  AccountQuota share{quota.RatePerSecond / n, quota.Burst / n};
-  auto excess = std::max(toleratedExcess(quota, tolerance) / n, 1.0);
-  return {share, excess, now};
-}
-
 bool mayCount(const Member &it) { return !it.Leaving && !it.ServesTarget; }
 
 TargetEntry partEntry(std::size_t part) {
@@ -67,20 +59,20 @@
 }
 
 std::vector<Member> CounterPlan::countersOf(const AccountName &account) const {
+  return countersOf(quota::partitionOf(account));
+}
+
+std::vector<Member> CounterPlan::countersOf(std::uint32_t partition) const {
   if (Counters.empty())
     return {};
-  // All daemons must agree, so std::hash won't do.
-  auto digest = digestOf(account.Value);
-  std::size_t part = 0;
-  constexpr std::size_t ByteValues = 256;
-  for (auto it : digest.Bytes)
-    part = (part * ByteValues + it) % Counters.size();
-  return Counters[part];
+  return Counters[partition % Counters.size()];
 }
 
 void QuotaCounter::apply(const AccountTable &accounts,
                          const QuotaTolerance &tolerance) {
   auto now = Time.now();
+  if (std::exchange(Window, tolerance.Window) != tolerance.Window)
+    Counts.clear();
   std::map<AccountName, Count> next;
   for (const auto &it : accounts.accounts()) {
     if (!it.Quota)
@@ -88,43 +80,43 @@
     auto excess = toleratedExcess(*it.Quota, tolerance) * GrantedExcess;
     auto known = Counts.find(it.Name);
     if (known == Counts.end()) {
-      next.emplace(it.Name, Count{{*it.Quota, excess, now}});
+      next.emplace(it.Name, Count{{*it.Quota, excess, Window, now},
+                                  quota::partitionOf(it.Name)});
       continue;
     }
-    known->second.Bucket.update(*it.Quota, excess, now);
+    known->second.Bucket.update(*it.Quota, excess);
     next.insert(Counts.extract(known));
   }
   Counts = std::move(next);
 }
 
-void QuotaCounter::assign(const AccountName &account, bool counts) {
-  auto it = Counts.find(account);
-  if (it == Counts.end())
-    return;
-  if (counts && !it->second.Current)
-    it->second.Bucket.clear(Time.now());
-  it->second.Current = counts;
-}
-
-messages::AccountGrant QuotaCounter::handle(const messages::AccountUse &use) {
+messages::AccountGrant QuotaCounter::handle(const messages::AccountUse &use,
+                                            double least) {
   auto it = Counts.find(use.Account);
   if (it == Counts.end())
     return {use.Asked, QuotaMode::Report, {}};
   auto now = Time.now();
-  auto &[bucket, current] = it->second;
-  if (!current)
-    bucket.clear(now);
-  current = true;
-  bucket.spend(use.Run, now);
+  auto &[bucket, partition] = it->second;
+  bucket.refill(Shares.shares(partition, bucket.filled(), now), least, now);
+  bucket.spend(use.Run);
   messages::AccountGrant out;
-  out.Granted = bucket.take(use.Asked, now);
-  out.Mode = bucket.mode(now);
-  out.Wait = bucket.untilNext(now);
+  out.Granted = bucket.take(use.Asked);
+  out.Mode = bucket.mode();
+  out.Wait = bucket.untilNext();
   return out;
 }
 
-AccountQuotas::AccountQuotas(CallPort &calls, VmName self, const Clock &clock)
-    : Calls(calls), Self(std::move(self)), Time(clock), Counter(clock) {}
+AccountQuotas::AccountQuotas(CallPort &calls, VmName self, const Clock &clock,
+                             QuotaProcess process)
+    : Calls(calls), Self(std::move(self)), Time(clock),
+      ReturnAfter(limits::SettledTime +
+                  limits::ReturnTime * (stableHash(Self.Value, {}) % 1'024) /
+                      1'024),
+      Process(process),
+      Own(Self, process.FleetStarts
+                    ? clock.now()
+                    : clock.now() + quota::limits::DelegationTime),
+      Delegated(process.Incarnation), Counter(Delegated, clock) {}
 
 void AccountQuotas::apply(const AccountTable &accounts,
                           const QuotaTolerance &tolerance) {
@@ -136,12 +128,14 @@
       continue;
     auto known = Accounts.find(it.Name);
     if (known == Accounts.end()) {
-      next[it.Name].Quota = *it.Quota;
+      auto &added = next[it.Name];
+      added.Quota = *it.Quota;
+      added.Partition = quota::partitionOf(it.Name);
       continue;
     }
     if (known->second.Quota != *it.Quota) {
       known->second.Quota = *it.Quota;
-      known->second.Share.reset();
+      known->second.MayExceed.reset();
       known->second.ModeUntil = Time.now();
     }
     next.insert(Accounts.extract(known));
@@ -164,13 +158,35 @@
     assignCounters();
 }
 
+void AccountQuotas::updateRegistered(const std::vector<Member> &known) {
+  Registered.clear();
+  for (const auto &it : known)
+    if (!it.ServesTarget)
+      Registered.push_back(it.Vm);
+  Delegated.setDaemons(static_cast<std::uint32_t>(Registered.size()));
+  for (auto &[name, it] : Accounts)
+    it.MayExceed.reset();
+}
+
+void AccountQuotas::setIncarnation(std::uint64_t incarnation) {
+  Process.Incarnation = incarnation;
+  Delegated.setIncarnation(incarnation);
+}
+
 void AccountQuotas::assignCounters() {
   std::map<VmName, Link> next;
+  Candidates.clear();
   std::vector<AccountName> due;
   for (auto &[name, it] : Accounts) {
-    it.Counters.clear();
-    for (const auto &counter : Plan.countersOf(name)) {
-      it.Counters.push_back(counter.Vm);
+    it.Refused.clear();
+    if (it.Unreported > 0 || !it.Asking.empty())
+      due.push_back(name);
+    auto [found, isNew] = Candidates.try_emplace(it.Partition);
+    if (!isNew)
+      continue;
+    auto &candidates = found->second;
+    for (const auto &counter : Plan.countersOf(it.Partition)) {
+      candidates.push_back(counter.Vm);
       if (counter.Vm == Self || next.contains(counter.Vm))
         continue;
       auto known = Links.find(counter.Vm);
@@ -179,38 +195,166 @@
         link = std::move(known->second);
       link.Address = counter.InnerAddress;
     }
-    Counter.assign(name, !it.Counters.empty() && it.Counters[0] == Self);
-    if (it.Unreported > 0 || !it.Asking.empty())
-      due.push_back(name);
+    auto hash = stableHash(Self.Value, std::to_string(it.Partition));
+    if (candidates.size() > 1 &&
+        (candidates[1] == Self || (candidates[0] != Self && hash % 2 == 1)))
+      std::swap(candidates[0], candidates[1]);
   }
+  // A counter that is no longer one is still sent the release of its shares.
+  for (auto &[vm, link] : Links)
+    if (!next.contains(vm) && Own.isDelegated(vm, Time.now()))
+      next.emplace(vm, std::move(link)).first->second.Due.clear();
   Links = std::move(next);
   for (const auto &name : due)
     reportAgain(name);
 }
 
+bool AccountQuotas::isUsable(const VmName &counter) const {
+  auto link = Links.find(counter);
+  return counter == Self ||
+         (link != Links.end() && Time.now() >= link->second.FailedUntil);
+}
+
+bool AccountQuotas::isRefused(const Account &account,
+                              const VmName &counter) const {
+  auto it = account.Refused.find(counter);
+  return it != account.Refused.end() && Time.now() < it->second;
+}
+
 VmName AccountQuotas::counterFor(const Account &account) const {
+  auto found = Candidates.find(account.Partition);
+  if (found == Candidates.end())
+    return {};
+  std::vector<VmName> order{delegateTo(account.Partition)};
+  order.insert(order.end(), found->second.begin(), found->second.end());
+  VmName refusing;
+  for (const auto &vm : order) {
+    if (vm.empty() || !isUsable(vm))
+      continue;
+    if (!isRefused(account, vm))
+      return vm;
+    if (refusing.empty())
+      refusing = vm;
+  }
+  return refusing;
+}
+
+VmName AccountQuotas::delegateTo(std::uint32_t partition) const {
   auto now = Time.now();
-  for (const auto &vm : account.Counters) {
+  const auto &candidates = Candidates.at(partition);
+  auto holder = Own.holder(partition, now);
+  for (const auto &vm : candidates) {
+    // A single lost answer must not end the delegation.
+    if (vm == holder)
+      return vm;
     auto link = Links.find(vm);
-    if (vm == Self || (link != Links.end() && now >= link->second.FailedUntil))
+    if (vm == Self || (link != Links.end() &&
+                       (link->second.FailedUntil == TimePoint{} ||
+                        now >= link->second.FailedUntil + ReturnAfter)))
       return vm;
   }
+  for (const auto &vm : candidates)
+    if (isUsable(vm))
+      return vm;
   return {};
 }
 
+std::vector<std::uint32_t>
+AccountQuotas::partitionsFor(const VmName &counter) const {
+  std::vector<std::uint32_t> out;
+  for (const auto &[partition, candidates] : Candidates)
+    if (delegateTo(partition) == counter)
+      out.push_back(partition);
+  return out;
+}
+
+void AccountQuotas::useHere(std::uint32_t partition) {
+  auto now = Time.now();
+  if (!Registered.empty() && Own.useHere(partition, now))
+    Delegated.holdOwn(Self, partition, now);
+}
+
+bool AccountQuotas::isRenewalDue(const VmName &counter,
+                                 const Link &link) const {
+  auto now = Time.now();
+  if (Registered.empty() || now < link.NextRenewal)
+    return false;
+  if (Own.isDelegated(counter, now))
+    return true;
+  return isUsable(counter) && !partitionsFor(counter).empty();
+}
+
+bool AccountQuotas::addDelegations(const VmName &counter, Link &link,
+                                   messages::UseReport &message) {
+  if (Registered.empty())
+    return false;
+  auto now = Time.now();
+  auto wanted = partitionsFor(counter);
+  auto &it = message.Delegated.emplace();
+  it.Vm = Self;
+  it.Incarnation = Process.Incarnation;
+  it.Daemons = static_cast<std::uint32_t>(Registered.size());
+  it.LastChallenge = Own.lastChallenge(counter);
+  it.Released = Own.releasable(counter, wanted, now);
+  it.Partitions = Own.delegate(counter, wanted, now);
+  // What is delegated from now on is no longer used here.
+  for (auto n : it.Partitions)
+    Delegated.drop(Self, n);
+  link.NextRenewal =
+      now + (it.Partitions.size() == wanted.size() ? limits::RenewalPause
+                                                   : limits::DelegationRetry);
+  return !wanted.empty() || !it.Released.empty();
+}
+
+/// All daemons must agree on the few that may run an operation more, so that
+/// these operations are bounded in total.
+bool AccountQuotas::mayExceed(const AccountName &name, Account &account) const {
+  if (!account.MayExceed) {
+    auto most = toleratedExcess(account.Quota, Tolerance) *
+                limits::ExcessWithoutCounter;
+    auto own = stableHash(Self.Value, name.Value);
+    auto before = std::count_if(
+        Registered.begin(), Registered.end(), [&](const VmName &vm) {
+          return vm != Self && stableHash(vm.Value, name.Value) <= own;
+        });
+    account.MayExceed =
+        !Registered.empty() && static_cast<double>(before + 1) <= most;
+  }
+  return *account.MayExceed;
+}
+
 QuotaMode AccountQuotas::modeOf(const Account &account) const {
+  // Registered daemons that are suspected here may be running operations.
+  auto daemons = std::max(Plan.daemons(), Registered.size());
+  if (account.Unreported + account.Sent >=
+      unreportedLimit(account.Quota, Tolerance, daemons))
+    return QuotaMode::Ask;
   return Time.now() < account.ModeUntil
              ? account.Mode
-             : initialMode(account.Quota, Tolerance, Plan.daemons());
+             : initialMode(account.Quota, Tolerance, daemons);
 }
 
-QuotaDecision AccountQuotas::decideHere(Account &account) {
-  auto now = Time.now();
-  if (!account.Share)
-    account.Share = shareOf(account.Quota, Tolerance, Plan.daemons(), now);
-  if (account.Share->take(1, now) == 1)
+QuotaDecision AccountQuotas::decideHere(const AccountName &name,
+                                        Account &account) {
+  useHere(account.Partition);
+  auto least = mayExceed(name, account) ? 1.0 : 0.0;
+  auto grant = Counter.handle({name, 0, 1}, least);
+  if (grant.Granted == 1)
     return {};
-  return {false, refusalTime(account.Share->untilNext(now))};
+  return {false, refusalTime(grant.Wait)};
+}
+
+bool AccountQuotas::refuse(Account &account, const VmName &counter,
+                           milliseconds wait) {
+  account.Refused[counter] = Time.now() + wait;
+  auto next = counterFor(account);
+  if (!next.empty() && !isRefused(account, next))
+    return true;
+  account.RefusedUntil = account.Refused[counter];
+  for (const auto &[vm, until] : account.Refused)
+    if (isUsable(vm))
+      account.RefusedUntil = std::min(account.RefusedUntil, until);
+  return false;
 }
 
 std::optional<QuotaDecision> AccountQuotas::admit(const AccountName &account,
@@ -225,14 +369,20 @@
         false, std::chrono::ceil<milliseconds>(it.RefusedUntil - now)};
   auto counter = counterFor(it);
   if (counter.empty())
-    return decideHere(it);
+    return decideHere(account, it);
+  auto mode = modeOf(it);
   if (counter == Self) {
+    useHere(it.Partition);
     auto grant = Counter.handle({account, 0, 1});
-    return grant.Granted == 1 ? QuotaDecision{}
-                              : QuotaDecision{false, refusalTime(grant.Wait)};
+    if (grant.Granted == 1)
+      return QuotaDecision{};
+    auto wait = refusalTime(grant.Wait);
+    if (!refuse(it, Self, wait))
+      return QuotaDecision{false, wait};
+    counter = counterFor(it);
+    mode = QuotaMode::Ask;
   }
   auto &link = Links.at(counter);
-  auto mode = modeOf(it);
   if (link.Due.empty())
     link.NextReport = now + limits::ReportDelay;
   link.Due.insert(account);
@@ -247,8 +397,12 @@
 
 void AccountQuotas::tick() {
   auto now = Time.now();
+  for (const auto &[partition, candidates] : Candidates)
+    if (auto vm = delegateTo(partition); vm.empty() || vm == Self)
+      useHere(partition);
   for (auto &[vm, link] : Links)
-    if (!link.Reporting && !link.Due.empty() && now >= link.NextReport)
+    if (!link.Reporting && ((!link.Due.empty() && now >= link.NextReport) ||
+                            isRenewalDue(vm, link)))
       report(vm, link);
 }
 
@@ -262,12 +416,13 @@
     auto &it = found->second;
     sent.Accounts.push_back(name);
     sent.Run.push_back(std::exchange(it.Unreported, 0));
+    it.Sent += sent.Run.back();
     sent.Asking.push_back(std::exchange(it.Asking, {}));
     message.Uses.push_back(
         {name, sent.Run.back(),
          static_cast<std::uint32_t>(sent.Asking.back().size())});
   }
-  if (message.Uses.empty())
+  if (!addDelegations(vm, link, message) && message.Uses.empty())
     return;
   link.Reporting = true;
   Calls.call(
@@ -284,19 +439,29 @@
   auto answer = answered ? messages::decodeUseAnswer(result.value().Body)
                          : Result<messages::UseAnswer>(Error{});
   bool valid = answer && answer.value().Grants.size() == sent.Accounts.size();
+  for (std::size_t n = 0; n < sent.Accounts.size(); ++n)
+    if (auto it = Accounts.find(sent.Accounts[n]); it != Accounts.end())
+      it->second.Sent -= std::min(it->second.Sent, sent.Run[n]);
   auto link = Links.find(vm);
   if (link != Links.end()) {
     link->second.Reporting = false;
+    auto now = Time.now();
     if (!valid)
-      link->second.FailedUntil = Time.now() + limits::CounterPause;
+      link->second.FailedUntil = now + limits::CounterPause;
+    else
+      link->second.FailedUntil = std::min(link->second.FailedUntil, now);
+    // A daemon of an earlier version holds no shares.
+    if (valid && !answer.value().Next)
+      link->second.NextRenewal = now + limits::CounterPause;
   }
   if (!valid) {
     telemetry::log(Event::CounterSilent, {field("vm", vm.Value)});
     handleNoAnswer(sent);
     return;
   }
+  Own.handleAnswer(vm, answer.value(), Time.now());
   for (std::size_t n = 0; n < sent.Accounts.size(); ++n)
-    handleGrant(sent.Accounts[n], answer.value().Grants[n], sent.Asking[n]);
+    handleGrant(vm, sent.Accounts[n], answer.value().Grants[n], sent.Asking[n]);
   // Operations may have asked while the report was under way.
   link = Links.find(vm);
   if (link == Links.end() || link->second.Reporting)
@@ -311,20 +476,25 @@
     report(vm, link->second);
 }
 
-void AccountQuotas::handleGrant(const AccountName &name,
+void AccountQuotas::handleGrant(const VmName &counter, const AccountName &name,
                                 const messages::AccountGrant &grant,
-                                const std::vector<OnQuotaDecision> &asking) {
-  auto now = Time.now();
+                                std::vector<OnQuotaDecision> asking) {
   auto wait = refusalTime(grant.Wait);
+  auto granted = std::min<std::size_t>(grant.Granted, asking.size());
+  auto decided = asking.size();
   if (auto it = Accounts.find(name); it != Accounts.end()) {
-    it->second.Share.reset();
     it->second.Mode = grant.Mode;
-    it->second.ModeUntil = now + limits::ModeAge;
-    if (grant.Granted < asking.size())
-      it->second.RefusedUntil = now + wait;
+    it->second.ModeUntil = Time.now() + limits::ModeAge;
+    if (granted < decided && refuse(it->second, counter, wait)) {
+      // The other counter may have operations left.
+      auto rest = asking.begin() + static_cast<std::ptrdiff_t>(granted);
+      it->second.Asking.insert(it->second.Asking.end(), rest, asking.end());
+      decided = granted;
+      reportAgain(name);
+    }
   }
-  for (std::size_t n = 0; n < asking.size(); ++n)
-    asking[n](n < grant.Granted ? QuotaDecision{} : QuotaDecision{false, wait});
+  for (std::size_t n = 0; n < decided; ++n)
+    asking[n](n < granted ? QuotaDecision{} : QuotaDecision{false, wait});
 }
 
 /// Whether the counter has counted the report is unknown. It is sent again: an
@@ -338,6 +508,9 @@
       continue;
     }
     auto &it = found->second;
+    // In a network partition nothing may run unasked.
+    it.Mode = QuotaMode::Ask;
+    it.ModeUntil = Time.now() + limits::ModeAge;
     it.Unreported += sent.Run[n];
     it.Asking.insert(it.Asking.end(), sent.Asking[n].begin(),
                      sent.Asking[n].end());
@@ -359,13 +532,13 @@
   if (counter == Self) {
     auto grant = Counter.handle({name, std::exchange(it.Unreported, 0),
                                  static_cast<std::uint32_t>(asking.size())});
-    handleGrant(name, grant, asking);
+    handleGrant(Self, name, grant, std::move(asking));
     return;
   }
   // A callback may begin another operation, and the accounts may change.
   std::vector<QuotaDecision> decisions;
   for (std::size_t n = 0; n < asking.size(); ++n)
-    decisions.push_back(decideHere(it));
+    decisions.push_back(decideHere(name, it));
   for (std::size_t n = 0; n < asking.size(); ++n)
     asking[n](decisions[n]);
 }
@@ -380,6 +553,10 @@
     return true;
   }
   messages::UseAnswer answer;
+  if (const auto &it = message.value().Delegated) {
+    answer.Released = Delegated.handle(*it, Time.now());
+    answer.Next = Delegated.issueChallenge(Time.now());
+  }
   for (const auto &it : message.value().Uses)
     answer.Grants.push_back(Counter.handle(it));
   respond({http::StatusOk, {}, messages::encode(answer)});
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -11,6 +11,8 @@
 #include "peridotfall/quota.h"
 #include "proxy/holder_ranks.h"
 #include "proxy/relay.h"
+#include "quota/paced_bucket.h"
+#include "quota/share_delegation.h"
 
 #include <functional>
 #include <map>
@@ -27,7 +29,8 @@
 /// accounts and bytes are lost to headers; with more, counting takes a
 /// noticeable share of a small VM.
 inline constexpr std::size_t DaemonsPerCounter = 64;
-/// Daemons that may count one account; the next is used while one fails.
+/// Daemons that may count one account. Each daemon delegates its shares to one
+/// of the two, chosen by hash, so that half of a limit outlives either.
 inline constexpr std::size_t CountersPerAccount = 2;
 /// Longest delay of a report.
 inline constexpr milliseconds ReportDelay{250};
@@ -36,6 +39,22 @@
 inline constexpr milliseconds ReportTimeout{100};
 /// Time for which a counter that did not answer is not called.
 inline constexpr milliseconds CounterPause{1'000};
+/// Interval of the reports that renew delegations. Two of them may be lost
+/// before a delegation ends.
+inline constexpr milliseconds RenewalPause{400};
+/// Interval of reports while the counter holds no valid delegation.
+inline constexpr milliseconds DelegationRetry{100};
+/// Time without a failure after which shares return to a counter. A share that
+/// moves is limited for a window, so a counter that fails often must not get
+/// shares back at once.
+inline constexpr milliseconds SettledTime{10'000};
+/// Time over which the daemons return their shares after that, each at its own
+/// moment. If all returned together, the counter that they leave would have run
+/// more than the shares that it keeps.
+inline constexpr milliseconds ReturnTime{30'000};
+/// Part of the tolerated excess for single operations of daemons that reach no
+/// counter and whose share is less than one operation.
+inline constexpr double ExcessWithoutCounter = 0.25;
 /// Time for which a mode holds after the counter named it.
 inline constexpr milliseconds ModeAge{5'000};
 /// Bounds of the time for which an account without operations left is refused
@@ -70,6 +89,7 @@
   bool setMembers(const std::vector<Member> &live);
   /// \return the daemons that may count the account, the one that does first.
   std::vector<Member> countersOf(const AccountName &account) const;
+  std::vector<Member> countersOf(std::uint32_t partition) const;
   std::size_t daemons() const { return Daemons; }
 
 private:
@@ -79,35 +99,53 @@
   std::vector<std::vector<Member>> Counters;
 };
 
-/// Counts accounts for all daemons. Not synchronised.
+/// Counts accounts for all daemons, within the shares that are delegated to
+/// this one. Not synchronised.
 class QuotaCounter {
 public:
-  explicit QuotaCounter(const Clock &clock) : Time(clock) {}
+  QuotaCounter(quota::ShareCounter &shares, const Clock &clock)
+      : Shares(shares), Time(clock) {}
 
   void apply(const AccountTable &accounts, const QuotaTolerance &tolerance);
-  /// \param counts whether this daemon is the one that counts the account.
-  void assign(const AccountName &account, bool counts);
   /// Counts an account's use. An account without a quota gets all it asks for.
-  messages::AccountGrant handle(const messages::AccountUse &use);
+  /// \param least operations granted in a window although the shares amount to
+  /// fewer.
+  messages::AccountGrant handle(const messages::AccountUse &use,
+                                double least = 0);
 
 private:
   struct Count {
-    QuotaBucket Bucket;
-    /// False: it may have been counted elsewhere since the last use.
-    bool Current = false;
+    quota::PacedBucket Bucket;
+    std::uint32_t Partition = 0;
   };
 
+  quota::ShareCounter &Shares;
   const Clock &Time;
+  Duration Window{};
   std::map<AccountName, Count> Counts;
 };
 
+/// The process that delegates and counts.
+struct QuotaProcess {
+  std::uint64_t Incarnation = 0;
+  /// No predecessor of this process can have delegated anything.
+  bool FleetStarts = false;
+
+  auto operator<=>(const QuotaProcess &) const = default;
+};
+
 /// All calls on the loop's thread.
 class AccountQuotas final : public QuotaPort {
 public:
-  AccountQuotas(CallPort &calls, VmName self, const Clock &clock);
+  /// \param clock advances while the machine is suspended.
+  AccountQuotas(CallPort &calls, VmName self, const Clock &clock,
+                QuotaProcess process = {});
 
   void apply(const AccountTable &accounts, const QuotaTolerance &tolerance);
   void updateMembers(const std::vector<Member> &live);
+  /// \param known all daemons in the store's list, also suspected ones.
+  void updateRegistered(const std::vector<Member> &known);
+  void setIncarnation(std::uint64_t incarnation);
   std::optional<QuotaDecision> admit(const AccountName &account,
                                      OnQuotaDecision done) override;
   void tick();
@@ -117,9 +155,12 @@
 private:
   struct Account {
     AccountQuota Quota;
-    std::optional<QuotaBucket> Share; ///< Used while no counter answers.
-    std::vector<VmName> Counters;
+    std::uint32_t Partition = 0;
+    std::map<VmName, TimePoint> Refused; ///< By each counter, until then.
+    /// Whether a single operation may run beyond this daemon's share.
+    std::optional<bool> MayExceed;
     std::uint32_t Unreported = 0;
+    std::uint32_t Sent = 0; ///< Reported, and not answered yet.
     std::vector<OnQuotaDecision> Asking;
     QuotaMode Mode = QuotaMode::Report;
     TimePoint ModeUntil{};
@@ -130,6 +171,7 @@
     std::string Address;
     bool Reporting = false;
     TimePoint NextReport{};
+    TimePoint NextRenewal{};
     TimePoint FailedUntil{};
     std::set<AccountName> Due; ///< With something to report.
   };
@@ -140,26 +182,50 @@
   };
 
   void assignCounters();
-  /// \return the counter to use now; empty if none answers.
+  bool isUsable(const VmName &counter) const;
+  bool isRefused(const Account &account, const VmName &counter) const;
+  /// \return the counter to use now; empty if none answers. One that has
+  /// refused the account is used only if no other is left.
   VmName counterFor(const Account &account) const;
+  /// \return the counter to delegate the partition to; empty if none answers.
+  VmName delegateTo(std::uint32_t partition) const;
+  std::vector<std::uint32_t> partitionsFor(const VmName &counter) const;
+  /// Uses the shares here that are delegated to nobody.
+  void useHere(std::uint32_t partition);
+  bool isRenewalDue(const VmName &counter, const Link &link) const;
+  /// Adds the delegations for the counter to a report.
+  /// \return whether the report is needed for them.
+  bool addDelegations(const VmName &counter, Link &link,
+                      messages::UseReport &message);
+  bool mayExceed(const AccountName &name, Account &account) const;
+  /// \return whether another counter may be asked.
+  bool refuse(Account &account, const VmName &counter, milliseconds wait);
   QuotaMode modeOf(const Account &account) const;
-  QuotaDecision decideHere(Account &account);
+  QuotaDecision decideHere(const AccountName &name, Account &account);
   /// Reports what is due for the account, or decides it here.
   void reportAgain(const AccountName &name);
   void report(const VmName &vm, Link &link);
   void handleAnswer(const VmName &vm, const SentReport &sent,
                     const http::CallResult &result);
-  void handleGrant(const AccountName &name, const messages::AccountGrant &grant,
-                   const std::vector<OnQuotaDecision> &asking);
+  void handleGrant(const VmName &counter, const AccountName &name,
+                   const messages::AccountGrant &grant,
+                   std::vector<OnQuotaDecision> asking);
   void handleNoAnswer(const SentReport &sent);
 
   CallPort &Calls;
   VmName Self;
   const Clock &Time;
+  milliseconds ReturnAfter; ///< Without a failure of the counter.
   std::vector<Member> Live;
   CounterPlan Plan; ///< Unused without accounts.
   QuotaTolerance Tolerance;
+  QuotaProcess Process;
+  std::vector<VmName> Registered;
+  quota::ShareOwner Own;
+  quota::ShareCounter Delegated;
   QuotaCounter Counter;
+  /// Of each partition that has accounts, the preferred one first.
+  std::map<std::uint32_t, std::vector<VmName>> Candidates;
   std::map<AccountName, Account> Accounts;
   std::map<VmName, Link> Links;
 };
