--- a/tests/proxy/fair_queueing_test.cpp
+++ b/tests/proxy/fair_queueing_test.cpp
@@ -195,7 +195,9 @@
   CHECK(Pool.stats().Opening == 2);
   begin({AccountName("urgent"), 1});
   CHECK(Pool.stats().Opening == 2);
-  while (Target.Opened.size() == 3)
+  auto before = Target.Opened.size();
+  while (Target.Opened.size() == before && !Target.Jobs.empty())
     serve();
-  CHECK(Target.Opened[3] == "urgent");
+  REQUIRE(Target.Opened.size() > before);
+  CHECK(Target.Opened[before] == "urgent");
 }
