--- a/tests/proxy/fair_order_test.cpp
+++ b/tests/proxy/fair_order_test.cpp
@@ -105,7 +105,10 @@
   CHECK(tags[4] < tags[0]);
   CHECK(tags[5] > tags[0]);
   CHECK(tags[5] < tags[2]);
-  order.started(2, Light, 10 * work);
+  SUBCASE("started") { order.started(2, Light, 10 * work); }
+  SUBCASE("by statements of a transaction that had begun") {
+    order.charge(2, Light, 10 * work);
+  }
   tags = order.tags(waiting);
   CHECK(tags[4] > tags[3]);
 }
