Quotas: two more daemons may count an account

Cause: where a network partition cuts both possible counters of an account off from most daemons, these run what their own shares allow until the membership has changed, several seconds later.

Change: four daemons may count an account; the third and fourth are used where the first two don't answer. What one refuses is asked of one other, as before.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -227,16 +227,18 @@
     return {};
   std::vector<VmName> order{delegateTo(account.Partition)};
   order.insert(order.end(), found->second.begin(), found->second.end());
-  VmName refusing;
+  std::vector<VmName> asked;
   for (const auto &vm : order) {
-    if (vm.empty() || !isUsable(vm))
+    bool known = std::find(asked.begin(), asked.end(), vm) != asked.end();
+    if (vm.empty() || known || !isUsable(vm))
       continue;
     if (!isRefused(account, vm))
       return vm;
-    if (refusing.empty())
-      refusing = vm;
+    asked.push_back(vm);
+    if (asked.size() == limits::CountersAsked)
+      break;
   }
-  return refusing;
+  return asked.empty() ? VmName() : asked.front();
 }
 
 VmName AccountQuotas::delegateTo(std::uint32_t partition) const {
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -29,9 +29,15 @@
 /// accounts and bytes are lost to headers; with more, counting takes a
 /// noticeable share of a small VM.
 inline constexpr std::size_t DaemonsPerCounter = 64;
-/// Daemons that may count one account. Each daemon delegates its shares to one
-/// of the two, chosen by hash, so that half of a limit outlives either.
-inline constexpr std::size_t CountersPerAccount = 2;
+/// Daemons that may count one account, in the order in which they are used.
+/// With two, most daemons could reach neither when a network partition cuts
+/// both off, and would run only what their own shares allow until the
+/// membership has changed, seconds later.
+inline constexpr std::size_t CountersPerAccount = 4;
+/// Counters in use at a time. Each daemon delegates its shares to one of the
+/// first two that answer, chosen by hash, so that half of a limit outlives
+/// either. What one refuses is asked of the other.
+inline constexpr std::size_t CountersAsked = 2;
 /// Longest delay of a report.
 inline constexpr milliseconds ReportDelay{250};
 /// Timeout of a report. Operations that wait for a grant then ask the next
