Sessions: wait for a missing primary by the time that the caller has left

Cause: a statement waited for a missing primary for 0.65 of its limit and was then refused with a constant retry-after of 400 ms. A change of primary takes about 1.7 s, so a caller used up its attempts during one change.

Change, where the configuration has client accounts: a group's absences are remembered (median of the last eight, 1.7 s at first). A statement waits until 0.15 of its limit (100 ms or more) is left, if the change is expected to end by then. Otherwise it is refused, once the absence has lasted for one round of leader queries (150 ms), with the time until the expected end, spread over half a second. Statements that can still meet their goal are resumed first. Without accounts the rule is as before.

With a primary that is missing for 1.7 s and a caller every 50 ms, each caller is refused once at most.

--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -319,6 +319,16 @@
   return leader;
 }
 
+std::optional<TargetName> Groups::usablePrimary(const Group &group) const {
+  auto out = writablePrimary(group);
+  return out && !unreachableSince(*out) ? out : std::nullopt;
+}
+
+const PrimaryAbsences &Groups::notePrimary(Group &group) const {
+  group.Absences.note(usablePrimary(group).has_value(), Time.now());
+  return group.Absences;
+}
+
 /// At first writes are held, since one may be missing from the new primary's
 /// log. If no new primary is found in that time, the old one accepts work again
 /// until the limit for a leaving target.
@@ -447,6 +457,7 @@
     group.LeavingSince.reset();
   else if (!group.LeavingSince)
     group.LeavingSince = now;
+  notePrimary(group);
   bool used = group.UsedAt && now - *group.UsedAt < limits::GroupIdle;
   if (used && now >= group.NextAppliedQuery)
     queryApplied(group, now);
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -10,6 +10,7 @@
 #include "proxy/group_view.h"
 #include "proxy/holder_paths.h"
 #include "proxy/holder_ranks.h"
+#include "proxy/primary_wait.h"
 #include "proxy/target_pool.h"
 
 #include <functional>
@@ -85,6 +86,7 @@
   std::optional<TimePoint> LeaderMissingSince;
   /// When the primary was first seen as leaving.
   std::optional<TimePoint> LeavingSince;
+  PrimaryAbsences Absences;
 };
 
 /// Routes leases to the target pools and updates the state of groups from the
@@ -118,6 +120,10 @@
   Group *markUsed(const GroupName &name);
   /// \return the primary that accepts new work now; empty if writes must wait.
   std::optional<TargetName> writablePrimary(const Group &group) const;
+  /// \return the primary to which a statement can be sent now.
+  std::optional<TargetName> usablePrimary(const Group &group) const;
+  /// Records whether the group has a usable primary.
+  const PrimaryAbsences &notePrimary(Group &group) const;
   /// \return whether a target is known, reachable and not leaving.
   bool isUsable(const TargetName &target) const;
   /// \return since when all paths to the target have failed; empty if one
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -412,8 +412,9 @@
 
 void Sessions::resume(const GroupName &group) {
   // By priority; then statements that can still meet their goal; then by
-  // arrival.
-  using Order = std::tuple<unsigned, bool, TimePoint, CallerId>;
+  // arrival. With accounts, statements that are late come last: by the end of a
+  // change of primary there are more than can be run in time.
+  using Order = std::tuple<bool, unsigned, bool, TimePoint, CallerId>;
   auto now = Time.now();
   std::vector<Order> parked;
   for (const auto &[id, it] : All) {
@@ -422,7 +423,8 @@
       continue;
     const auto &run = *it.Current;
     bool late = isLate(goalOf(run), now);
-    parked.emplace_back(run.AssignedRoute.Priority, late, run.StartedAt, id);
+    parked.emplace_back(late && hasAccounts(), run.AssignedRoute.Priority, late,
+                        run.StartedAt, id);
   }
   std::sort(parked.begin(), parked.end());
   for (const auto &order : parked) {
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -191,7 +191,11 @@
   /// goal); nothing: it has no such time.
   static std::optional<TimePoint> goalOf(const StatementRun &run);
   /// \return when a statement stops waiting for a primary.
-  static TimePoint primaryWaitDeadline(const StatementRun &run);
+  TimePoint primaryWaitDeadline(const StatementRun &run) const;
+  /// \return whether a statement waits for a primary, and when to retry if not.
+  PrimaryWait primaryWait(const StatementRun &run);
+  /// \return whether waits follow from the time that callers have left.
+  bool hasAccounts() const { return Table.Accounts.has_value(); }
   void park(Session &session);
   /// Places the statement again at \p until.
   void pause(StatementRun &run, WaitReason place, TimePoint until);
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -141,9 +141,9 @@
 }
 
 void Sessions::placeAtPrimary(Session &session, Group &group) {
-  auto leader = Targets.writablePrimary(group);
+  auto leader = Targets.usablePrimary(group);
   // An unreachable primary is handled like an unknown one: the statement waits.
-  if (!leader || Targets.unreachableSince(*leader)) {
+  if (!leader) {
     park(session);
     return;
   }
@@ -194,7 +194,9 @@
   return run.StartedAt + run.AssignedRoute.Goal;
 }
 
-TimePoint Sessions::primaryWaitDeadline(const StatementRun &run) {
+TimePoint Sessions::primaryWaitDeadline(const StatementRun &run) const {
+  if (hasAccounts())
+    return latestStart(run.Deadline, run.AssignedRoute.StatementLimit);
   return run.StartedAt +
          share(run.AssignedRoute.StatementLimit, limits::PrimaryWaitShare);
 }
@@ -203,8 +205,20 @@
   auto &run = *session.Current;
   run.Parked = true;
   beginWait(run, WaitReason::Primary);
-  if (Time.now() >= primaryWaitDeadline(run))
-    refuse(session, limits::PrimaryRetryAfter, "no primary to run it");
+  auto wait = primaryWait(run);
+  if (!wait.Waits)
+    refuse(session, wait.RetryAfter, "no primary to run it");
+}
+
+PrimaryWait Sessions::primaryWait(const StatementRun &run) {
+  auto now = Time.now();
+  auto until = primaryWaitDeadline(run);
+  if (!hasAccounts())
+    return {now < until, limits::PrimaryRetryAfter};
+  auto *group = Targets.find(run.AssignedRoute.Group);
+  const PrimaryAbsences none;
+  return decidePrimaryWait(group ? Targets.notePrimary(*group) : none, until,
+                           spreadOf(run.Serial), now);
 }
 
 void Sessions::pause(StatementRun &run, WaitReason place, TimePoint until) {
