Sessions: retry statements refused as busy while their limit allows it

Each refusal costs the caller one of its few attempts.

Change, where the configuration has client accounts: a statement refused as busy goes to the other targets that may serve it, and then waits for the time that the target's holder named, or with growing pauses, until too little time is left to run. Such refusals don't count towards the limit of attempts. A read waits at one target for half of the time until its goal, or until its limit if the goal has passed, and is sent until 5 ms before its limit.

--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -6,6 +6,7 @@
 #define PERIDOTFALL_PROXY_SESSIONS_H
 
 #include "proxy/account_quotas.h"
+#include "proxy/attempt_time.h"
 #include "proxy/groups.h"
 #include "proxy/metrics.h"
 #include "telemetry/events.h"
@@ -34,15 +35,9 @@
 inline constexpr milliseconds MinReadTimeout{150};
 /// Attempts of one statement, the first included.
 inline constexpr unsigned MaxAttempts = 5;
-/// Minimum time left for which an attempt is started.
-inline constexpr milliseconds MinAttemptTime{20};
 /// Waits for a replica to catch up that are no longer than this don't justify a
 /// timer; the read is sent at once.
 inline constexpr milliseconds NegligibleWait{3};
-/// Delay before a statement rejected as busy is sent to the same target again.
-/// It grows by this much with each attempt, up to the maximum.
-inline constexpr milliseconds BusyRetryDelay{15};
-inline constexpr milliseconds MaxBusyRetryDelay{120};
 /// Retry-after for callers whose statement found no primary: about what is left
 /// of a change of primary after a statement has waited for it.
 inline constexpr milliseconds PrimaryRetryAfter{400};
@@ -127,6 +122,10 @@
     TimePoint StartedAt;
     TimePoint Deadline;
     unsigned Attempts = 0;
+    /// Attempts refused as busy, where waits follow from the time left.
+    unsigned BusyRefusals = 0;
+    /// When the target that refused the last attempt expects to have room.
+    std::optional<Duration> RetryAfter;
     bool PrimaryOnly = false;
     bool InFlight = false;          ///< Counted as running at its target.
     bool Parked = false;            ///< Waiting for a primary.
@@ -216,6 +215,14 @@
   void handleLostLease(Session &session, const BatchResult &result);
   void retry(Session &session, ErrorKind why);
   void retryBusy(Session &session, TimePoint now);
+  /// Tries again at another target, or later if all have refused.
+  void retryWhileTimeLeft(Session &session, std::optional<Duration> retryAfter);
+  /// \return the attempts that failed for another reason than load.
+  static unsigned failedAttempts(const StatementRun &run) {
+    return run.Attempts - run.BusyRefusals;
+  }
+  Duration minAttemptTimeOf(const StatementRun &run) const;
+  milliseconds primaryRetryAfter(const StatementRun &run);
   void report(Session &session, Group &group, const BatchResult &result);
 
   void deliver(Session &session, Answer answer);
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -165,7 +165,7 @@
   else
     notBefore = group.View.positionFor(route.MaxStaleness, now);
   constexpr unsigned MaxReplicaAttempts = 2;
-  if (!notBefore || run.Attempts > MaxReplicaAttempts) {
+  if (!notBefore || failedAttempts(run) > MaxReplicaAttempts) {
     placeAtPrimary(session, group);
     return;
   }
@@ -294,7 +294,8 @@
   auto &run = *session.Current;
   auto now = Time.now();
   auto left = run.Deadline - now;
-  if (left < limits::MinAttemptTime) {
+  auto minTime = minAttemptTimeOf(run);
+  if (left < minTime) {
     refuse(session, limits::BusyRetryAfter, "no time left");
     return;
   }
@@ -307,8 +308,13 @@
   // When all callers return at once after an outage, a read that only the
   // primary can run waits as long as a write would. It is then answered late
   // instead of being refused three times in quick succession.
-  auto wait =
-      atPrimary ? primaryWaitDeadline(run) - now : Duration(limits::ReadWait);
+  auto goal = goalOf(run);
+  auto goalLeft = goal ? std::optional<Duration>(*goal - now) : std::nullopt;
+  Duration wait = limits::ReadWait;
+  if (atPrimary)
+    wait = primaryWaitDeadline(run) - now;
+  else if (hasAccounts())
+    wait = readWait(goalLeft, left);
   endWait(run);
   ++run.Attempts;
   run.Target = target;
@@ -321,11 +327,9 @@
   request.Target = target;
   request.Priority = run.AssignedRoute.Priority;
   request.Account = run.Account;
-  request.Wait =
-      std::clamp<Duration>(wait, Duration{}, left - limits::MinAttemptTime);
+  request.Wait = std::clamp<Duration>(wait, Duration{}, left - minTime);
   request.Total = left;
-  if (auto goal = goalOf(run))
-    request.GoalLeft = *goal - now;
+  request.GoalLeft = goalLeft;
   run.Lease =
       Targets.begin(request, std::move(batch),
                     ifStillCurrent(session, &Sessions::handleFirstResult));
@@ -368,9 +372,12 @@
     return;
   case BatchEnd::NotRun:
     run.Lease = {};
+    run.RetryAfter = result.RetryAfter;
+    if (result.QueueFull && !run.RetryAfter)
+      run.RetryAfter = limits::BusyRetryAfter;
     // Only the primary can run this statement, and waiting longer would leave
     // the caller no time to retry.
-    if (result.QueueFull && isAtPrimary(run))
+    if (result.QueueFull && isAtPrimary(run) && !hasAccounts())
       refuse(session, limits::BusyRetryAfter, "more waits than runs in time");
     else
       retry(session, result.Error.Kind);
@@ -520,21 +527,68 @@
                   field("target", run.Target.Value), field("why", nameOf(why)),
                   field("tries", run.Attempts)});
   run.Avoid = run.Target;
+  auto retryAfter = std::exchange(run.RetryAfter, std::nullopt);
   bool busy = why == ErrorKind::Busy || why == ErrorKind::ConnectionLimit;
+  if (busy && hasAccounts()) {
+    retryWhileTimeLeft(session, retryAfter);
+    return;
+  }
   if (busy && run.PrimaryOnly) {
     retryBusy(session, now);
     return;
   }
-  if (now + limits::MinAttemptTime >= run.Deadline ||
-      run.Attempts >= limits::MaxAttempts) {
+  if (now + minAttemptTimeOf(run) >= run.Deadline ||
+      failedAttempts(run) >= limits::MaxAttempts) {
     refuse(session,
-           run.PrimaryOnly ? limits::PrimaryRetryAfter : limits::BusyRetryAfter,
+           run.PrimaryOnly ? primaryRetryAfter(run) : limits::BusyRetryAfter,
            nameOf(why));
     return;
   }
   proceed(session);
 }
 
+/// A refusal costs the caller one of its few attempts, so a statement is tried
+/// again while its limit allows it. Other targets may have room now; once they
+/// have refused it too, it waits.
+void Sessions::retryWhileTimeLeft(Session &session,
+                                  std::optional<Duration> retryAfter) {
+  auto &run = *session.Current;
+  auto now = Time.now();
+  ++run.BusyRefusals;
+  bool mustFinish =
+      writes(run.Request) || session.State == TransactionState::Open;
+  auto until = mustFinish ? primaryWaitDeadline(run)
+                          : run.Deadline - minAttemptTimeOf(run);
+  auto *group = Targets.find(run.AssignedRoute.Group);
+  bool othersLeft = !run.PrimaryOnly && group &&
+                    run.BusyRefusals < group->Targets.size() && now < until;
+  if (othersLeft) {
+    proceed(session);
+    return;
+  }
+  if (auto at = busyRetryAt(run.BusyRefusals, retryAfter, until, now)) {
+    pause(run, WaitReason::Slot, *at);
+    return;
+  }
+  auto after = retryAfter.value_or(limits::BusyRetryAfter);
+  refuse(session, std::chrono::ceil<milliseconds>(after),
+         retryAfter ? "more waits than runs in time" : nameOf(ErrorKind::Busy));
+}
+
+Duration Sessions::minAttemptTimeOf(const StatementRun &run) const {
+  return minAttemptTime(writes(run.Request) || !hasAccounts());
+}
+
+milliseconds Sessions::primaryRetryAfter(const StatementRun &run) {
+  auto *group = Targets.find(run.AssignedRoute.Group);
+  if (!hasAccounts() || !group)
+    return limits::PrimaryRetryAfter;
+  auto now = Time.now();
+  return decidePrimaryWait(Targets.notePrimary(*group), now,
+                           spreadOf(run.Serial), now)
+      .RetryAfter;
+}
+
 /// An overloaded primary rejects statements as busy, and no other target can
 /// run them. They are retried there while there is time left to run, with
 /// increasing delays so that the retries don't add to the overload.
