Sessions: send a second copy of a read that is late

Cause: a read at a silent target was tried elsewhere after 0.4 of its limit only, and one at a slow target waited for it.

Change: a single read that placement has placed, and that is not answered in the time in which 98% of the daemon's reads are (50 ms or more; 100 ms until 50 answers are known), gets one copy at another target that meets the same demand. The first success is used. The other copy ends by itself, and is reported to placement, so that a silent target is still found. At most 5% of the reads are hedged (token bucket, at most 5 at once), none within 500 ms of a refusal for load in the group, and no write. metrics: peridotfall_hedged_reads_total.

Evidence: hedged_reads_test, 11 cases passed, which include both orders of the answers, either copy failing, a caller that leaves, the leases' return, and a write at a silent primary; the other tests of sessions passed.

--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -87,6 +87,8 @@
   /// When the primary was first seen as leaving.
   std::optional<TimePoint> LeavingSince;
   PrimaryAbsences Absences;
+  /// When one of its targets last refused work because of load.
+  std::optional<TimePoint> BusyAt;
 };
 
 /// Routes leases to the target pools and updates the state of groups from the
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -67,6 +67,11 @@
                          "Reads that ran, by the target's role.");
   it.ReplicaReads = &reads.Add({{"served_by", "replica"}});
   it.PrimaryReads = &reads.Add({{"served_by", "primary"}});
+  auto &hedges = counters(to, "peridotfall_hedged_reads_total",
+                          "Second copies of reads that were sent, and those "
+                          "whose answer was used.");
+  it.HedgesSent = &hedges.Add({{"copy", "sent"}});
+  it.HedgesUsed = &hedges.Add({{"copy", "used"}});
   it.ReplicaReadAge =
       &histograms(to, "peridotfall_replica_read_age_seconds",
                   "Bound on how old the view of a read at a replica was.")
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -89,6 +89,8 @@
   Family Retries = nullptr;
   Counter ReplicaReads = nullptr;
   Counter PrimaryReads = nullptr;
+  Counter HedgesSent = nullptr;
+  Counter HedgesUsed = nullptr; ///< Second copies that answered first.
   Histogram ReplicaReadAge = nullptr;
   Histogram RefusedWait = nullptr;
   std::array<Histogram, WaitReasons> Waits{};
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -144,6 +144,10 @@
     if (run.InFlight && group)
       group->ReadPlacement.dropped(run.Target);
     releaseLease(run.Lease);
+    if (run.Hedge && group)
+      group->ReadPlacement.dropped(run.Hedge->Target);
+    if (run.Hedge)
+      releaseLease(run.Hedge->Lease);
   }
   if (session.State != TransactionState::Idle)
     releaseLease(session.Open.Lease);
@@ -439,6 +443,8 @@
     auto &run = *session.Current;
     if (run.Parked || (run.RunAt && now >= *run.RunAt))
       proceed(session);
+    else if (run.InFlight)
+      hedgeIfLate(session, now);
     return;
   }
   bool open = session.State != TransactionState::Idle;
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -9,6 +9,7 @@
 #include "proxy/attempt_time.h"
 #include "proxy/groups.h"
 #include "proxy/metrics.h"
+#include "proxy/read_hedge.h"
 #include "telemetry/events.h"
 
 #include <deque>
@@ -112,6 +113,13 @@
     /// The next statement is answered with an error.
     bool ConnectionLost = false;
   };
+  /// A second copy of a read.
+  struct ReadCopy {
+    TargetName Target;
+    LeaseId Lease;
+    Batch Sent;
+    TimePoint SentAt;
+  };
   /// The execution of a caller's statement, over all its attempts.
   struct StatementRun {
     Statement Request;
@@ -137,6 +145,12 @@
     LeaseId Lease;
     Batch Sent;
     TimePoint SentAt;
+    TimePoint FirstSentAt;
+    /// Of a single read at a target chosen by placement; empty: it can't be
+    /// hedged.
+    std::optional<ReadDemand> Demand;
+    std::optional<ReadCopy> Hedge;
+    bool Hedged = false;
   };
   struct Session {
     CallerId Id;
@@ -223,7 +237,22 @@
   }
   Duration minAttemptTimeOf(const StatementRun &run) const;
   milliseconds primaryRetryAfter(const StatementRun &run);
-  void report(Session &session, Group &group, const BatchResult &result);
+  void report(const StatementRun &run, Group &group, const BatchResult &result);
+
+  /// \return how long a read waits for a connection.
+  Duration readWaitOf(const StatementRun &run) const;
+  LeaseRequest makeRequest(const StatementRun &run, const TargetName &target,
+                           Duration wait) const;
+  /// Sends a second copy of a read that is not answered in the usual time.
+  void hedgeIfLate(Session &session, TimePoint now);
+  void sendHedge(Session &session, Group &group, const TargetName &target);
+  void handleHedgeResult(Session &session, const BatchResult &result);
+  /// Exchanges a read's two copies.
+  static void swapCopies(StatementRun &run);
+  /// Lets a read's second copy end by itself; its answer is not used.
+  void leaveToEnd(StatementRun &run);
+  /// Ends a copy of a read that another copy has answered.
+  void endUnusedCopy(std::uint64_t serial, const BatchResult &result);
 
   void deliver(Session &session, Answer answer);
   void rejectRemoved(Session &session, const Statement &it);
@@ -248,6 +277,9 @@
   TimePoint RoutesConfirmedAt;
   std::map<CallerId, Session> All;
   std::uint64_t LastSerial = 0;
+  ReadHedge Hedges;
+  /// Copies of reads whose answers are not used, by the read's serial.
+  std::map<std::uint64_t, StatementRun> UnusedCopies;
   std::optional<TimePoint> StoppingSince;
   TimePoint TransactionStopDeadline{};
   TimePoint StopDeadline{};
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -43,6 +43,12 @@
   return AnswerCode::Ok;
 }
 
+/// \return whether a batch without a transaction of its own succeeded.
+bool isSuccess(const BatchResult &result) {
+  return result.End == BatchEnd::Complete && !result.Answers.empty() &&
+         result.Answers[0].ok();
+}
+
 } // namespace
 
 void Sessions::beginRun(Session &session, Statement it) {
@@ -141,6 +147,7 @@
 }
 
 void Sessions::placeAtPrimary(Session &session, Group &group) {
+  session.Current->Demand.reset();
   auto leader = Targets.usablePrimary(group);
   // An unreachable primary is handled like an unknown one: the statement waits.
   if (!leader) {
@@ -185,6 +192,10 @@
     pause(run, WaitReason::Replica, now + choice.WaitBefore);
     return;
   }
+  bool isSingle = session.State == TransactionState::Idle && reads(run.Request);
+  run.Demand = isSingle ? std::optional(demand) : std::nullopt;
+  if (isSingle && run.Attempts == 0)
+    Hedges.noteRead();
   sendFirstBatch(session, choice.Target, false, notBefore);
 }
 
@@ -285,17 +296,43 @@
     auto *it = find(id);
     if (it && it->Current && it->Current->Serial == serial)
       (this->*then)(*it, result);
+    else
+      endUnusedCopy(serial, result);
   };
 }
 
+Duration Sessions::readWaitOf(const StatementRun &run) const {
+  if (!hasAccounts())
+    return limits::ReadWait;
+  auto now = Time.now();
+  auto goal = goalOf(run);
+  return readWait(goal ? std::optional<Duration>(*goal - now) : std::nullopt,
+                  run.Deadline - now);
+}
+
+LeaseRequest Sessions::makeRequest(const StatementRun &run,
+                                   const TargetName &target,
+                                   Duration wait) const {
+  auto now = Time.now();
+  LeaseRequest out;
+  out.Target = target;
+  out.Priority = run.AssignedRoute.Priority;
+  out.Account = run.Account;
+  out.Total = run.Deadline - now;
+  out.Wait =
+      std::clamp<Duration>(wait, Duration{}, out.Total - minAttemptTimeOf(run));
+  if (auto goal = goalOf(run))
+    out.GoalLeft = *goal - now;
+  return out;
+}
+
 void Sessions::sendFirstBatch(Session &session, const TargetName &target,
                               bool atPrimary,
                               std::optional<Position> notBefore) {
   auto &run = *session.Current;
   auto now = Time.now();
   auto left = run.Deadline - now;
-  auto minTime = minAttemptTimeOf(run);
-  if (left < minTime) {
+  if (left < minAttemptTimeOf(run)) {
     refuse(session, limits::BusyRetryAfter, "no time left");
     return;
   }
@@ -308,42 +345,31 @@
   // When all callers return at once after an outage, a read that only the
   // primary can run waits as long as a write would. It is then answered late
   // instead of being refused three times in quick succession.
-  auto goal = goalOf(run);
-  auto goalLeft = goal ? std::optional<Duration>(*goal - now) : std::nullopt;
-  Duration wait = limits::ReadWait;
-  if (atPrimary)
-    wait = primaryWaitDeadline(run) - now;
-  else if (hasAccounts())
-    wait = readWait(goalLeft, left);
+  auto wait = atPrimary ? primaryWaitDeadline(run) - now : readWaitOf(run);
   endWait(run);
-  ++run.Attempts;
+  if (run.Attempts++ == 0)
+    run.FirstSentAt = now;
   run.Target = target;
   run.Sent = batch;
   run.SentAt = now;
   if (auto *group = Targets.find(run.AssignedRoute.Group))
     group->ReadPlacement.started(target);
   run.InFlight = true;
-  LeaseRequest request;
-  request.Target = target;
-  request.Priority = run.AssignedRoute.Priority;
-  request.Account = run.Account;
-  request.Wait = std::clamp<Duration>(wait, Duration{}, left - minTime);
-  request.Total = left;
-  request.GoalLeft = goalLeft;
   run.Lease =
-      Targets.begin(request, std::move(batch),
+      Targets.begin(makeRequest(run, target, wait), std::move(batch),
                     ifStillCurrent(session, &Sessions::handleFirstResult));
 }
 
-void Sessions::report(Session &session, Group &group,
+void Sessions::report(const StatementRun &run, Group &group,
                       const BatchResult &result) {
-  const auto &run = *session.Current;
   auto now = Time.now();
   countAnswers(result);
   AnswerReport report;
   report.Target = run.Target;
   report.FromPrimary = isAtPrimary(run);
   report.Code = codeOf(result);
+  if (result.QueueFull || report.Code == AnswerCode::Overloaded)
+    group.BusyAt = now;
   report.Mode = reads(run.Request) ? Access::FreshRead : Access::Write;
   report.Ran = now - run.SentAt;
   if (!result.Answers.empty() && result.Answers.back().At)
@@ -365,7 +391,15 @@
   auto &run = *session.Current;
   run.InFlight = false;
   if (auto *group = Targets.find(run.AssignedRoute.Group))
-    report(session, *group, result);
+    report(run, *group, result);
+  if (run.Hedge && !isSuccess(result)) {
+    // The other copy may still succeed.
+    swapCopies(run);
+    run.Hedge.reset();
+    run.InFlight = true;
+    return;
+  }
+  leaveToEnd(run);
   switch (result.End) {
   case BatchEnd::Complete:
     handleFirstAnswers(session, result);
@@ -431,6 +465,8 @@
   }
   if (reads(run.Request) && answer.ok())
     countRead(run, answer);
+  if (run.Demand && answer.ok())
+    Hedges.noteAnswer(Time.now() - run.FirstSentAt);
   deliver(session, std::move(answer));
 }
 
