Placement: eject a replica that fails much more reads than its peers

Cause: a target was ejected after three failures in a row, which one that fails 40% of its requests rarely has, or if it was slow.

Change: the last 32 answers of reads are kept for each target, without refusals for load. A replica with at least 12 answers and 4 failures is ejected if its failed share exceeds twice that of its peers by 0.15. At most half of the replicas are ejected, and one returns with RampUp, as before. Health reports are not used.

Evidence: uneven_targets_test, 7 cases passed: a replica that fails 40% of its reads, one that fails every other second, one that is eight times slower, both failing, statements that fail everywhere, and a return. placement_test passed.

--- a/include/peridotfall/placement.h
+++ b/include/peridotfall/placement.h
@@ -6,6 +6,7 @@
 #define PERIDOTFALL_PLACEMENT_H
 
 #include "peridotfall/clock.h"
+#include "peridotfall/failure_share.h"
 #include "peridotfall/names.h"
 #include "peridotfall/running_median.h"
 #include "peridotfall/statement.h"
@@ -193,6 +194,7 @@
     bool LagKnown = false;
     std::uint32_t Outstanding = 0;
     std::uint32_t FailuresInRow = 0;
+    RecentAnswers Recent; ///< Of reads, without refusals for load.
     std::uint32_t Ejections = 0;
     TimePoint EjectedUntil{};
   };
@@ -207,6 +209,7 @@
   void updateLag(const AnswerReport &report, TargetStats &stats, TimePoint now);
   void updateApplied(Position at, TargetStats &stats, TimePoint now);
   bool isTooSlow(const TargetName &target) const;
+  bool failsMoreThanPeers(const TargetName &target) const;
   void eject(const TargetName &target, std::size_t replicas, TimePoint now);
 
   std::mt19937_64 Random;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -19,6 +19,18 @@
   return it == AnswerCode::Unavailable || it == AnswerCode::ConnectionLost;
 }
 
+/// \return whether the target failed a read; empty if the answer says nothing
+/// about the target, such as a refusal for load.
+std::optional<bool> failedRead(const AnswerReport &it) {
+  if (it.Mode == Access::Write)
+    return std::nullopt;
+  if (it.Code == AnswerCode::Ok)
+    return false;
+  if (isFailure(it.Code) || it.Code == AnswerCode::SqlError)
+    return true;
+  return std::nullopt;
+}
+
 } // namespace
 
 Duration roundTripTime(Distance it) {
@@ -194,6 +206,11 @@
                          TimePoint now) {
   auto &stats = StatsByTarget[report.Target];
   dropped(report.Target);
+  if (auto failed = failedRead(report)) {
+    stats.Recent.add(*failed);
+    if (*failed && !report.FromPrimary && failsMoreThanPeers(report.Target))
+      eject(report.Target, replicas, now);
+  }
   if (isFailure(report.Code)) {
     if (++stats.FailuresInRow >= limits::EjectFailures && !report.FromPrimary)
       eject(report.Target, replicas, now);
@@ -230,6 +247,14 @@
              scaled(fastest, limits::EjectFactor) + limits::EjectSlack;
 }
 
+bool Placement::failsMoreThanPeers(const TargetName &target) const {
+  std::vector<RecentAnswers> peers;
+  for (const auto &[name, it] : StatsByTarget)
+    if (name != target)
+      peers.push_back(it.Recent);
+  return isFailureOutlier(StatsByTarget.at(target).Recent, peers);
+}
+
 /// Ejects a slow or failing target, but never more than half of the replicas: a
 /// fault of this daemon or of the network makes all targets look faulty, and
 /// the primary would get every read.
@@ -253,6 +278,7 @@
   stats.Ejections = std::min(stats.Ejections + 1, MaxDoublings);
   stats.FailuresInRow = 0;
   stats.Service = {}; // Unknown after the ejection.
+  stats.Recent = {};
 }
 
 } // namespace peridotfall
