--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -6,8 +6,10 @@
 #define PERIDOTFALL_PROXY_SESSIONS_H
 
 #include "proxy/account_quotas.h"
+#include "proxy/attempt_time.h"
 #include "proxy/groups.h"
 #include "proxy/metrics.h"
+#include "proxy/read_hedge.h"
 #include "telemetry/events.h"
 
 #include <deque>
@@ -34,15 +36,9 @@
 inline constexpr milliseconds MinReadTimeout{150};
 /// Attempts of one statement, the first included.
 inline constexpr unsigned MaxAttempts = 5;
-/// Minimum time left for which an attempt is started.
-inline constexpr milliseconds MinAttemptTime{20};
 /// Waits for a replica to catch up that are no longer than this don't justify a
 /// timer; the read is sent at once.
 inline constexpr milliseconds NegligibleWait{3};
-/// Delay before a statement rejected as busy is sent to the same target again.
-/// It grows by this much with each attempt, up to the maximum.
-inline constexpr milliseconds BusyRetryDelay{15};
-inline constexpr milliseconds MaxBusyRetryDelay{120};
 /// Retry-after for callers whose statement found no primary: about what is left
 /// of a change of primary after a statement has waited for it.
 inline constexpr milliseconds PrimaryRetryAfter{400};
@@ -117,6 +113,13 @@
     /// The next statement is answered with an error.
     bool ConnectionLost = false;
   };
+  /// A second copy of a read.
+  struct ReadCopy {
+    TargetName Target;
+    LeaseId Lease;
+    Batch Sent;
+    TimePoint SentAt;
+  };
   /// The execution of a caller's statement, over all its attempts.
   struct StatementRun {
     Statement Request;
@@ -127,6 +130,10 @@
     TimePoint StartedAt;
     TimePoint Deadline;
     unsigned Attempts = 0;
+    /// Attempts refused as busy, where waits follow from the time left.
+    unsigned BusyRefusals = 0;
+    /// When the target that refused the last attempt expects to have room.
+    std::optional<Duration> RetryAfter;
     bool PrimaryOnly = false;
     bool InFlight = false;          ///< Counted as running at its target.
     bool Parked = false;            ///< Waiting for a primary.
@@ -138,8 +145,12 @@
     LeaseId Lease;
     Batch Sent;
     TimePoint SentAt;
-    /// Reported by the queue that refused the last attempt.
-    std::optional<Duration> QueueRetryAfter;
+    TimePoint FirstSentAt;
+    /// Of a single read at a target chosen by placement; empty: it can't be
+    /// hedged.
+    std::optional<ReadDemand> Demand;
+    std::optional<ReadCopy> Hedge;
+    bool Hedged = false;
   };
   struct Session {
     CallerId Id;
@@ -195,7 +206,11 @@
   /// \return the retry-after for a statement that found no connection or slot.
   static milliseconds busyRetryAfter(const StatementRun &run);
   /// \return when a statement stops waiting for a primary.
-  static TimePoint primaryWaitDeadline(const StatementRun &run);
+  TimePoint primaryWaitDeadline(const StatementRun &run) const;
+  /// \return whether a statement waits for a primary, and when to retry if not.
+  PrimaryWait primaryWait(const StatementRun &run);
+  /// \return whether waits follow from the time that callers have left.
+  bool hasAccounts() const { return Table.Accounts.has_value(); }
   void park(Session &session);
   /// Places the statement again at \p until.
   void pause(StatementRun &run, WaitReason place, TimePoint until);
@@ -216,7 +231,30 @@
   void handleLostLease(Session &session, const BatchResult &result);
   void retry(Session &session, ErrorKind why);
   void retryBusy(Session &session, TimePoint now);
-  void report(Session &session, Group &group, const BatchResult &result);
+  /// Tries again at another target, or later if all have refused.
+  void retryWhileTimeLeft(Session &session, std::optional<Duration> retryAfter);
+  /// \return the attempts that failed for another reason than load.
+  static unsigned failedAttempts(const StatementRun &run) {
+    return run.Attempts - run.BusyRefusals;
+  }
+  Duration minAttemptTimeOf(const StatementRun &run) const;
+  milliseconds primaryRetryAfter(const StatementRun &run);
+  void report(const StatementRun &run, Group &group, const BatchResult &result);
+
+  /// \return how long a read waits for a connection.
+  Duration readWaitOf(const StatementRun &run) const;
+  LeaseRequest makeRequest(const StatementRun &run, const TargetName &target,
+                           Duration wait) const;
+  /// Sends a second copy of a read that is not answered in the usual time.
+  void hedgeIfLate(Session &session, TimePoint now);
+  void sendHedge(Session &session, Group &group, const TargetName &target);
+  void handleHedgeResult(Session &session, const BatchResult &result);
+  /// Exchanges a read's two copies.
+  static void swapCopies(StatementRun &run);
+  /// Lets a read's second copy end by itself; its answer is not used.
+  void leaveToEnd(StatementRun &run);
+  /// Ends a copy of a read that another copy has answered.
+  void endUnusedCopy(std::uint64_t serial, const BatchResult &result);
 
   void deliver(Session &session, Answer answer);
   void rejectRemoved(Session &session, const Statement &it);
@@ -241,6 +279,9 @@
   TimePoint RoutesConfirmedAt;
   std::map<CallerId, Session> All;
   std::uint64_t LastSerial = 0;
+  ReadHedge Hedges;
+  /// Copies of reads whose answers are not used, by the read's serial.
+  std::map<std::uint64_t, StatementRun> UnusedCopies;
   std::optional<TimePoint> StoppingSince;
   TimePoint TransactionStopDeadline{};
   TimePoint StopDeadline{};
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -43,6 +43,12 @@
   return AnswerCode::Ok;
 }
 
+/// \return whether a batch without a transaction of its own succeeded.
+bool isSuccess(const BatchResult &result) {
+  return result.End == BatchEnd::Complete && !result.Answers.empty() &&
+         result.Answers[0].ok();
+}
+
 } // namespace
 
 void Sessions::beginRun(Session &session, Statement it) {
@@ -141,9 +147,10 @@
 }
 
 void Sessions::placeAtPrimary(Session &session, Group &group) {
-  auto leader = Targets.writablePrimary(group);
+  session.Current->Demand.reset();
+  auto leader = Targets.usablePrimary(group);
   // An unreachable primary is handled like an unknown one: the statement waits.
-  if (!leader || Targets.unreachableSince(*leader)) {
+  if (!leader) {
     park(session);
     return;
   }
@@ -165,7 +172,7 @@
   else
     notBefore = group.View.positionFor(route.MaxStaleness, now);
   constexpr unsigned MaxReplicaAttempts = 2;
-  if (!notBefore || run.Attempts > MaxReplicaAttempts) {
+  if (!notBefore || failedAttempts(run) > MaxReplicaAttempts) {
     placeAtPrimary(session, group);
     return;
   }
@@ -185,6 +192,10 @@
     pause(run, WaitReason::Replica, now + choice.WaitBefore);
     return;
   }
+  bool isSingle = session.State == TransactionState::Idle && reads(run.Request);
+  run.Demand = isSingle ? std::optional(demand) : std::nullopt;
+  if (isSingle && run.Attempts == 0)
+    Hedges.noteRead();
   sendFirstBatch(session, choice.Target, false, notBefore);
 }
 
@@ -195,15 +206,17 @@
 }
 
 milliseconds Sessions::busyRetryAfter(const StatementRun &run) {
-  if (!run.QueueRetryAfter)
+  if (!run.RetryAfter)
     return limits::BusyRetryAfter;
   // It may come from another daemon.
   return std::clamp<milliseconds>(
-      std::chrono::ceil<milliseconds>(*run.QueueRetryAfter),
+      std::chrono::ceil<milliseconds>(*run.RetryAfter),
       limits::MinQueueRetryAfter, limits::MaxQueueRetryAfter);
 }
 
-TimePoint Sessions::primaryWaitDeadline(const StatementRun &run) {
+TimePoint Sessions::primaryWaitDeadline(const StatementRun &run) const {
+  if (hasAccounts())
+    return latestStart(run.Deadline, run.AssignedRoute.StatementLimit);
   return run.StartedAt +
          share(run.AssignedRoute.StatementLimit, limits::PrimaryWaitShare);
 }
@@ -212,8 +225,20 @@
   auto &run = *session.Current;
   run.Parked = true;
   beginWait(run, WaitReason::Primary);
-  if (Time.now() >= primaryWaitDeadline(run))
-    refuse(session, limits::PrimaryRetryAfter, "no primary to run it");
+  auto wait = primaryWait(run);
+  if (!wait.Waits)
+    refuse(session, wait.RetryAfter, "no primary to run it");
+}
+
+PrimaryWait Sessions::primaryWait(const StatementRun &run) {
+  auto now = Time.now();
+  auto until = primaryWaitDeadline(run);
+  if (!hasAccounts())
+    return {now < until, limits::PrimaryRetryAfter};
+  auto *group = Targets.find(run.AssignedRoute.Group);
+  const PrimaryAbsences none;
+  return decidePrimaryWait(group ? Targets.notePrimary(*group) : none, until,
+                           spreadOf(run.Serial), now);
 }
 
 void Sessions::pause(StatementRun &run, WaitReason place, TimePoint until) {
@@ -280,16 +305,43 @@
     auto *it = find(id);
     if (it && it->Current && it->Current->Serial == serial)
       (this->*then)(*it, result);
+    else
+      endUnusedCopy(serial, result);
   };
 }
 
+Duration Sessions::readWaitOf(const StatementRun &run) const {
+  if (!hasAccounts())
+    return limits::ReadWait;
+  auto now = Time.now();
+  auto goal = goalOf(run);
+  return readWait(goal ? std::optional<Duration>(*goal - now) : std::nullopt,
+                  run.Deadline - now);
+}
+
+LeaseRequest Sessions::makeRequest(const StatementRun &run,
+                                   const TargetName &target,
+                                   Duration wait) const {
+  auto now = Time.now();
+  LeaseRequest out;
+  out.Target = target;
+  out.Priority = run.AssignedRoute.Priority;
+  out.Account = run.Account;
+  out.Total = run.Deadline - now;
+  out.Wait =
+      std::clamp<Duration>(wait, Duration{}, out.Total - minAttemptTimeOf(run));
+  if (auto goal = goalOf(run))
+    out.GoalLeft = *goal - now;
+  return out;
+}
+
 void Sessions::sendFirstBatch(Session &session, const TargetName &target,
                               bool atPrimary,
                               std::optional<Position> notBefore) {
   auto &run = *session.Current;
   auto now = Time.now();
   auto left = run.Deadline - now;
-  if (left < limits::MinAttemptTime) {
+  if (left < minAttemptTimeOf(run)) {
     refuse(session, busyRetryAfter(run), "no time left");
     return;
   }
@@ -302,39 +354,31 @@
   // When all callers return at once after an outage, a read that only the
   // primary can run waits as long as a write would. It is then answered late
   // instead of being refused three times in quick succession.
-  auto wait =
-      atPrimary ? primaryWaitDeadline(run) - now : Duration(limits::ReadWait);
+  auto wait = atPrimary ? primaryWaitDeadline(run) - now : readWaitOf(run);
   endWait(run);
-  ++run.Attempts;
+  if (run.Attempts++ == 0)
+    run.FirstSentAt = now;
   run.Target = target;
   run.Sent = batch;
   run.SentAt = now;
   if (auto *group = Targets.find(run.AssignedRoute.Group))
     group->ReadPlacement.started(target);
   run.InFlight = true;
-  LeaseRequest request;
-  request.Target = target;
-  request.Priority = run.AssignedRoute.Priority;
-  request.Account = run.Account;
-  request.Wait =
-      std::clamp<Duration>(wait, Duration{}, left - limits::MinAttemptTime);
-  request.Total = left;
-  if (auto goal = goalOf(run))
-    request.GoalLeft = *goal - now;
   run.Lease =
-      Targets.begin(request, std::move(batch),
+      Targets.begin(makeRequest(run, target, wait), std::move(batch),
                     ifStillCurrent(session, &Sessions::handleFirstResult));
 }
 
-void Sessions::report(Session &session, Group &group,
+void Sessions::report(const StatementRun &run, Group &group,
                       const BatchResult &result) {
-  const auto &run = *session.Current;
   auto now = Time.now();
   countAnswers(result);
   AnswerReport report;
   report.Target = run.Target;
   report.FromPrimary = isAtPrimary(run);
   report.Code = codeOf(result);
+  if (result.QueueFull || report.Code == AnswerCode::Overloaded)
+    group.BusyAt = now;
   report.Mode = reads(run.Request) ? Access::FreshRead : Access::Write;
   report.Ran = now - run.SentAt;
   if (!result.Answers.empty() && result.Answers.back().At)
@@ -355,18 +399,28 @@
 void Sessions::handleFirstResult(Session &session, const BatchResult &result) {
   auto &run = *session.Current;
   run.InFlight = false;
-  run.QueueRetryAfter = result.RetryAfter;
   if (auto *group = Targets.find(run.AssignedRoute.Group))
-    report(session, *group, result);
+    report(run, *group, result);
+  if (run.Hedge && !isSuccess(result)) {
+    // The other copy may still succeed.
+    swapCopies(run);
+    run.Hedge.reset();
+    run.InFlight = true;
+    return;
+  }
+  leaveToEnd(run);
   switch (result.End) {
   case BatchEnd::Complete:
     handleFirstAnswers(session, result);
     return;
   case BatchEnd::NotRun:
     run.Lease = {};
+    run.RetryAfter = result.RetryAfter;
+    if (result.QueueFull && !run.RetryAfter)
+      run.RetryAfter = limits::BusyRetryAfter;
     // Only the primary can run this statement, and waiting longer would leave
     // the caller no time to retry.
-    if (result.QueueFull && isAtPrimary(run))
+    if (result.QueueFull && isAtPrimary(run) && !hasAccounts())
       refuse(session, busyRetryAfter(run), "more waits than runs in time");
     else
       retry(session, result.Error.Kind);
@@ -420,6 +474,8 @@
   }
   if (reads(run.Request) && answer.ok())
     countRead(run, answer);
+  if (run.Demand && answer.ok())
+    Hedges.noteAnswer(Time.now() - run.FirstSentAt);
   deliver(session, std::move(answer));
 }
 
@@ -516,21 +572,68 @@
                   field("target", run.Target.Value), field("why", nameOf(why)),
                   field("tries", run.Attempts)});
   run.Avoid = run.Target;
+  auto retryAfter = std::exchange(run.RetryAfter, std::nullopt);
   bool busy = why == ErrorKind::Busy || why == ErrorKind::ConnectionLimit;
+  if (busy && hasAccounts()) {
+    retryWhileTimeLeft(session, retryAfter);
+    return;
+  }
   if (busy && run.PrimaryOnly) {
     retryBusy(session, now);
     return;
   }
-  if (now + limits::MinAttemptTime >= run.Deadline ||
-      run.Attempts >= limits::MaxAttempts) {
+  if (now + minAttemptTimeOf(run) >= run.Deadline ||
+      failedAttempts(run) >= limits::MaxAttempts) {
     refuse(session,
-           run.PrimaryOnly ? limits::PrimaryRetryAfter : busyRetryAfter(run),
+           run.PrimaryOnly ? primaryRetryAfter(run) : busyRetryAfter(run),
            nameOf(why));
     return;
   }
   proceed(session);
 }
 
+/// A refusal costs the caller one of its few attempts, so a statement is tried
+/// again while its limit allows it. Other targets may have room now; once they
+/// have refused it too, it waits.
+void Sessions::retryWhileTimeLeft(Session &session,
+                                  std::optional<Duration> retryAfter) {
+  auto &run = *session.Current;
+  auto now = Time.now();
+  ++run.BusyRefusals;
+  bool mustFinish =
+      writes(run.Request) || session.State == TransactionState::Open;
+  auto until = mustFinish ? primaryWaitDeadline(run)
+                          : run.Deadline - minAttemptTimeOf(run);
+  auto *group = Targets.find(run.AssignedRoute.Group);
+  bool othersLeft = !run.PrimaryOnly && group &&
+                    run.BusyRefusals < group->Targets.size() && now < until;
+  if (othersLeft) {
+    proceed(session);
+    return;
+  }
+  if (auto at = busyRetryAt(run.BusyRefusals, retryAfter, until, now)) {
+    pause(run, WaitReason::Slot, *at);
+    return;
+  }
+  auto after = retryAfter.value_or(limits::BusyRetryAfter);
+  refuse(session, std::chrono::ceil<milliseconds>(after),
+         retryAfter ? "more waits than runs in time" : nameOf(ErrorKind::Busy));
+}
+
+Duration Sessions::minAttemptTimeOf(const StatementRun &run) const {
+  return minAttemptTime(writes(run.Request) || !hasAccounts());
+}
+
+milliseconds Sessions::primaryRetryAfter(const StatementRun &run) {
+  auto *group = Targets.find(run.AssignedRoute.Group);
+  if (!hasAccounts() || !group)
+    return limits::PrimaryRetryAfter;
+  auto now = Time.now();
+  return decidePrimaryWait(Targets.notePrimary(*group), now,
+                           spreadOf(run.Serial), now)
+      .RetryAfter;
+}
+
 /// An overloaded primary rejects statements as busy, and no other target can
 /// run them. They are retried there while there is time left to run, with
 /// increasing delays so that the retries don't add to the overload.
