Proxy: openings that hang don't keep open connections from being used

If a target took no new connections, those being opened could fill what may run at once until their handshakes timed out, 500 ms later, and statements whose account had an open connection waited for them. Openings now count only up to the one in four that may be openings while such statements wait.

--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -39,6 +39,13 @@
   return first.EndsLease && !hasCallerStatement(first);
 }
 
+/// \return connections that may be opened at once while statements wait for
+/// open ones.
+std::size_t maxOpening(std::size_t maxRunning) {
+  return (maxRunning + limits::RunningPerOpening - 1) /
+         limits::RunningPerOpening;
+}
+
 } // namespace
 
 TargetPool::TargetPool(TargetEntry target, TargetPort &port, const Clock &clock,
@@ -115,14 +122,14 @@
       }));
 }
 
-/// Without accounts connections are opened too rarely to matter.
+/// Without accounts connections are opened too rarely to matter. Openings that
+/// hang must not keep the open connections from being used.
 std::size_t TargetPool::occupied() const {
-  return running() +
-         static_cast<std::size_t>(std::count_if(
-             Connections.begin(), Connections.end(), [](const auto &it) {
-               return it.second.State == Phase::Opening &&
-                      !it.second.Account.empty();
-             }));
+  auto n = static_cast<std::size_t>(
+      std::count_if(Connections.begin(), Connections.end(), [](const auto &it) {
+        return it.second.State == Phase::Opening && !it.second.Account.empty();
+      }));
+  return running() + std::min(n, maxOpening(MaxRunning));
 }
 
 /// Starts waiting leases on idle connections of their account, in order. A
@@ -198,9 +205,8 @@
   auto opened = opening();
   if (Retired || Time.now() < OpenAfter || opened + running() >= MaxRunning)
     return false;
-  auto most =
-      (MaxRunning + limits::RunningPerOpening - 1) / limits::RunningPerOpening;
-  return account.empty() || opened < most || !isConnectionWanted();
+  return account.empty() || opened < maxOpening(MaxRunning) ||
+         !isConnectionWanted();
 }
 
 bool TargetPool::isConnectionWanted() const {
--- a/tests/proxy/fair_queueing_test.cpp
+++ b/tests/proxy/fair_queueing_test.cpp
@@ -201,3 +201,18 @@
   REQUIRE(Target.Opened.size() > before);
   CHECK(Target.Opened[before] == "urgent");
 }
+
+// The target accepts no new connections for a while. The open ones must still
+// be used.
+TEST_CASE_FIXTURE(
+    FairQueueingFixture,
+    "connections being opened hang, statements run on open ones") {
+  begin({AccountName("a"), 2});
+  while (!Target.Jobs.empty())
+    serve();
+  for (const auto *it : {"b", "c", "d", "e", "f", "g"})
+    begin({AccountName(it), 2});
+  REQUIRE(Pool.stats().Opening == 6);
+  begin({AccountName("a"), 2});
+  CHECK_FALSE(Target.Jobs.back().Opens);
+}
