Quotas: an account without a tolerated excess gets its limit

Cause: a bucket's depth is the granted excess; with overshoot and slack of zero it is empty for good, and every operation that is asked for is refused.

Change: the buckets of an account hold four operations at the least, over all counters. A test with no tolerance in the settings is added.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -77,7 +77,9 @@
   for (const auto &it : accounts.accounts()) {
     if (!it.Quota)
       continue;
-    auto excess = toleratedExcess(*it.Quota, tolerance) * GrantedExcess;
+    auto excess =
+        std::max(toleratedExcess(*it.Quota, tolerance) * GrantedExcess,
+                 limits::MinGrantedExcess);
     auto known = Counts.find(it.Name);
     if (known == Counts.end()) {
       next.emplace(it.Name, Count{{*it.Quota, excess, Window, now},
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -38,6 +38,9 @@
 /// first two that answer, chosen by hash, so that half of a limit outlives
 /// either. What one refuses is asked of the other.
 inline constexpr std::size_t CountersAsked = 2;
+/// Least operations that an account's buckets hold, over all counters. Without
+/// a tolerated excess they would hold less than one, and grant nothing.
+inline constexpr double MinGrantedExcess = 2.0 * CountersAsked;
 /// Longest delay of a report.
 inline constexpr milliseconds ReportDelay{250};
 /// Timeout of a report. Operations that wait for a grant then ask the next
--- a/tests/proxy/account_quotas_test.cpp
+++ b/tests/proxy/account_quotas_test.cpp
@@ -68,13 +68,13 @@
     run(0, seconds(10));
     Start = Time.now();
   }
-  void apply(AccountQuota quota) {
+  void apply(AccountQuota quota, const QuotaTolerance &tolerance = Tolerance) {
     ClientAccount account;
     account.Name = Name;
     account.Quota = quota;
     Table = AccountTable::make({account}).value();
     for (auto &it : Daemons)
-      it->apply(Table, Tolerance);
+      it->apply(Table, tolerance);
   }
   /// Replaces the process; what it was asked and what it knew is lost.
   void restart(std::size_t n) {
@@ -211,6 +211,18 @@
   }
 }
 
+// Guards against an account that gets nothing because the settings name no
+// tolerance.
+TEST_CASE("no tolerance in the settings, an account gets its limit") {
+  Fleet fleet(9, Small);
+  fleet.apply(Small, {});
+  fleet.run(0, seconds(5));
+  fleet.Ran.clear();
+  fleet.run(Small.RatePerSecond * 0.9, seconds(20));
+  CHECK(static_cast<double>(fleet.Ran.size()) >=
+        Small.RatePerSecond * 20 * 0.85);
+}
+
 // Guards against two limits in place of one while the daemon that counts is
 // lost and another takes its place.
 TEST_CASE("counter lost at the limit, the limit is kept") {
