--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -143,7 +143,7 @@
     next.insert(Accounts.extract(known));
   }
   auto removed = std::exchange(Accounts, std::move(next));
-  Plan.setMembers(Live);
+  Plan.setMembers(Registered.empty() ? Live : Known);
   assignCounters();
   for (const auto &[name, it] : removed)
     for (const auto &done : it.Asking)
@@ -152,15 +152,12 @@
 
 void AccountQuotas::updateMembers(const std::vector<Member> &live) {
   Live = live;
-  // Members change often while a fleet starts, and there may be no accounts.
-  if (Accounts.empty())
-    return;
-  // Most changes touch no counter; there may be many accounts.
-  if (Plan.setMembers(Live))
-    assignCounters();
+  if (Registered.empty())
+    updatePlan(Live);
 }
 
 void AccountQuotas::updateRegistered(const std::vector<Member> &known) {
+  Known = known;
   Registered.clear();
   for (const auto &it : known)
     if (!it.ServesTarget)
@@ -168,6 +165,16 @@
   Delegated.setDaemons(static_cast<std::uint32_t>(Registered.size()));
   for (auto &[name, it] : Accounts)
     it.MayExceed.reset();
+  updatePlan(Known);
+}
+
+void AccountQuotas::updatePlan(const std::vector<Member> &members) {
+  // Members change often while a fleet starts, and there may be no accounts.
+  if (Accounts.empty())
+    return;
+  // Most changes touch no counter; there may be many accounts.
+  if (Plan.setMembers(members))
+    assignCounters();
 }
 
 void AccountQuotas::setIncarnation(std::uint64_t incarnation) {
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -48,9 +48,9 @@
 inline constexpr milliseconds ReportTimeout{100};
 /// Time for which a counter that did not answer is not called.
 inline constexpr milliseconds CounterPause{1'000};
-/// Interval of the reports that renew delegations. Two of them may be lost
+/// Interval of the reports that renew delegations. One of them may be lost
 /// before a delegation ends.
-inline constexpr milliseconds RenewalPause{400};
+inline constexpr milliseconds RenewalPause{200};
 /// Interval of reports while the counter holds no valid delegation.
 inline constexpr milliseconds DelegationRetry{100};
 /// Time without a failure after which shares return to a counter. A share that
@@ -190,6 +190,7 @@
     std::vector<std::vector<OnQuotaDecision>> Asking;
   };
 
+  void updatePlan(const std::vector<Member> &members);
   void assignCounters();
   bool isUsable(const VmName &counter) const;
   bool isRefused(const Account &account, const VmName &counter) const;
@@ -226,6 +227,10 @@
   const Clock &Time;
   milliseconds ReturnAfter; ///< Without a failure of the counter.
   std::vector<Member> Live;
+  /// With suspected ones. Counters are chosen among these: in a network
+  /// partition suspicions come and go, and a share that moves to another
+  /// counter grants nothing for a while.
+  std::vector<Member> Known;
   CounterPlan Plan; ///< Unused without accounts.
   QuotaTolerance Tolerance;
   QuotaProcess Process;
