Quotas: shares are usable once all counters have released a predecessor's

Cause: a restarted daemon waited until its predecessor's delegations must have ended.

Change: a restarted daemon asks all counters of its plan to release what its predecessor may have delegated, and uses its shares once all have confirmed, or after the validity of a delegation. Eight daemons may count an account; suspected ones are passed over.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace peridotfall::proxy {
@@ -152,6 +153,9 @@
 
 void AccountQuotas::updateMembers(const std::vector<Member> &live) {
   Live = live;
+  LiveNames.clear();
+  for (const auto &it : live)
+    LiveNames.insert(it.Vm);
   if (Registered.empty())
     updatePlan(Live);
 }
@@ -220,8 +224,12 @@
 
 bool AccountQuotas::isUsable(const VmName &counter) const {
   auto link = Links.find(counter);
-  return counter == Self ||
-         (link != Links.end() && Time.now() >= link->second.FailedUntil);
+  return counter == Self || (link != Links.end() && !isSuspected(counter) &&
+                             Time.now() >= link->second.FailedUntil);
+}
+
+bool AccountQuotas::isSuspected(const VmName &counter) const {
+  return !LiveNames.empty() && !LiveNames.contains(counter);
 }
 
 bool AccountQuotas::isRefused(const Account &account,
@@ -259,7 +267,7 @@
     if (vm == holder)
       return vm;
     auto link = Links.find(vm);
-    if (vm == Self || (link != Links.end() &&
+    if (vm == Self || (link != Links.end() && !isSuspected(vm) &&
                        (link->second.FailedUntil == TimePoint{} ||
                         now >= link->second.FailedUntil + ReturnAfter)))
       return vm;
@@ -290,6 +298,8 @@
   auto now = Time.now();
   if (Registered.empty() || now < link.NextRenewal)
     return false;
+  if (!Own.isUsable(now))
+    return !Released.contains(counter);
   if (Own.isDelegated(counter, now))
     return true;
   return isUsable(counter) && !partitionsFor(counter).empty();
@@ -306,7 +316,12 @@
   it.Incarnation = Process.Incarnation;
   it.Daemons = static_cast<std::uint32_t>(Registered.size());
   it.LastChallenge = Own.lastChallenge(counter);
-  it.Released = Own.releasable(counter, wanted, now);
+  if (Own.isUsable(now)) {
+    it.Released = Own.releasable(counter, wanted, now);
+  } else {
+    it.Released.resize(quota::limits::Partitions);
+    std::iota(it.Released.begin(), it.Released.end(), 0U);
+  }
   it.Partitions = Own.delegate(counter, wanted, now);
   // What is delegated from now on is no longer used here.
   for (auto n : it.Partitions)
@@ -433,6 +448,7 @@
         {name, sent.Run.back(),
          static_cast<std::uint32_t>(sent.Asking.back().size())});
   }
+  sent.ReleasesAll = !Registered.empty() && !Own.isUsable(Time.now());
   if (!addDelegations(vm, link, message) && message.Uses.empty())
     return;
   link.Reporting = true;
@@ -471,6 +487,8 @@
     return;
   }
   Own.handleAnswer(vm, answer.value(), Time.now());
+  if (sent.ReleasesAll && answer.value().Next)
+    handleRelease(vm);
   for (std::size_t n = 0; n < sent.Accounts.size(); ++n)
     handleGrant(vm, sent.Accounts[n], answer.value().Grants[n], sent.Asking[n]);
   // Operations may have asked while the report was under way.
@@ -487,6 +505,15 @@
     report(vm, link->second);
 }
 
+void AccountQuotas::handleRelease(const VmName &counter) {
+  Released.insert(counter);
+  for (const auto &[partition, candidates] : Candidates)
+    for (const auto &vm : candidates)
+      if (vm != Self && !Released.contains(vm))
+        return;
+  Own.setUsable(Time.now());
+}
+
 void AccountQuotas::handleGrant(const VmName &counter, const AccountName &name,
                                 const messages::AccountGrant &grant,
                                 std::vector<OnQuotaDecision> asking) {
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -30,10 +30,9 @@
 /// noticeable share of a small VM.
 inline constexpr std::size_t DaemonsPerCounter = 64;
 /// Daemons that may count one account, in the order in which they are used.
-/// With two, most daemons could reach neither when a network partition cuts
-/// both off, and would run only what their own shares allow until the
-/// membership has changed, seconds later.
-inline constexpr std::size_t CountersPerAccount = 4;
+/// With few, most daemons could reach none of them in a network partition, and
+/// would run only what their own shares allow.
+inline constexpr std::size_t CountersPerAccount = 8;
 /// Counters in use at a time. Each daemon delegates its shares to one of the
 /// first two that answer, chosen by hash, so that half of a limit outlives
 /// either. What one refuses is asked of the other.
@@ -185,14 +184,21 @@
     std::set<AccountName> Due; ///< With something to report.
   };
   struct SentReport {
+    /// Releases what a predecessor of this process may have delegated.
+    bool ReleasesAll = false;
     std::vector<AccountName> Accounts;
     std::vector<std::uint32_t> Run;
     std::vector<std::vector<OnQuotaDecision>> Asking;
   };
 
   void updatePlan(const std::vector<Member> &members);
+  /// A restarted daemon may use its shares once all counters have confirmed
+  /// that they hold no delegation of its predecessor, or once it must have
+  /// ended.
+  void handleRelease(const VmName &counter);
   void assignCounters();
   bool isUsable(const VmName &counter) const;
+  bool isSuspected(const VmName &counter) const;
   bool isRefused(const Account &account, const VmName &counter) const;
   /// \return the counter to use now; empty if none answers. One that has
   /// refused the account is used only if no other is left.
@@ -227,6 +233,7 @@
   const Clock &Time;
   milliseconds ReturnAfter; ///< Without a failure of the counter.
   std::vector<Member> Live;
+  std::set<VmName> LiveNames;
   /// With suspected ones. Counters are chosen among these: in a network
   /// partition suspicions come and go, and a share that moves to another
   /// counter grants nothing for a while.
@@ -242,6 +249,8 @@
   std::map<std::uint32_t, std::vector<VmName>> Candidates;
   std::map<AccountName, Account> Accounts;
   std::map<VmName, Link> Links;
+  /// Counters that hold no delegation of a predecessor.
+  std::set<VmName> Released;
 };
 
 } // namespace peridotfall::proxy
--- a/src/quota/share_delegation.h
+++ b/src/quota/share_delegation.h
@@ -12,6 +12,7 @@
 #include "peridotfall/clock.h"
 #include "quota/paced_bucket.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
@@ -47,6 +48,9 @@
   /// \param usableFrom when the delegations of a predecessor have ended.
   ShareOwner(VmName self, TimePoint usableFrom);
 
+  bool isUsable(TimePoint now) const { return now >= UsableFrom; }
+  /// No counter holds a delegation of a predecessor any more.
+  void setUsable(TimePoint now) { UsableFrom = std::min(UsableFrom, now); }
   /// \return the partitions to list as delegated in a report to the counter
   /// that is sent now: those of \p wanted that no other counter may still use.
   std::vector<std::uint32_t> delegate(const VmName &counter,
--- a/tests/proxy/account_quotas_test.cpp
+++ b/tests/proxy/account_quotas_test.cpp
@@ -211,6 +211,20 @@
   }
 }
 
+// Guards against a restart of all daemons after which nothing is granted until
+// delegations of their predecessors would have ended.
+TEST_CASE("all daemons restart, operations go on once they are back") {
+  Fleet fleet(75, Large);
+  fleet.run(Large.RatePerSecond * 0.6, seconds(5));
+  for (std::size_t n = 0; n < fleet.Members.size(); ++n)
+    fleet.restart(n);
+  fleet.run(0, milliseconds(100));
+  fleet.Ran.clear();
+  fleet.run(Large.RatePerSecond * 0.6, milliseconds(300));
+  CHECK(static_cast<double>(fleet.Ran.size()) >=
+        Large.RatePerSecond * 0.6 * 0.3 * 0.7);
+}
+
 // Guards against an account that gets nothing because the settings name no
 // tolerance.
 TEST_CASE("no tolerance in the settings, an account gets its limit") {
