Quotas: an operation is asked of two counters at most

Cause: with eight daemons that may count an account an operation waited 100 ms for each that didn't answer.

Change: after two reports without an answer an operation is decided here; renewals find a counter that answers. Delegations are valid for 1 s again and renewed each 0.4 s.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -521,6 +521,7 @@
   auto granted = std::min<std::size_t>(grant.Granted, asking.size());
   auto decided = asking.size();
   if (auto it = Accounts.find(name); it != Accounts.end()) {
+    it->second.Unanswered = 0;
     it->second.Mode = grant.Mode;
     it->second.ModeUntil = Time.now() + limits::ModeAge;
     if (granted < decided && refuse(it->second, counter, wait)) {
@@ -549,6 +550,7 @@
     // In a network partition nothing may run unasked.
     it.Mode = QuotaMode::Ask;
     it.ModeUntil = Time.now() + limits::ModeAge;
+    ++it.Unanswered;
     it.Unreported += sent.Run[n];
     it.Asking.insert(it.Asking.end(), sent.Asking[n].begin(),
                      sent.Asking[n].end());
@@ -559,13 +561,17 @@
 void AccountQuotas::reportAgain(const AccountName &name) {
   auto &it = Accounts.at(name);
   auto counter = counterFor(it);
+  // Operations don't wait for more counters than two.
+  bool decides = it.Unanswered >= limits::CountersAsked;
   if (!counter.empty() && counter != Self) {
     auto &link = Links.at(counter);
     link.Due.insert(name);
-    if (!it.Asking.empty() && !link.Reporting)
+    if (!decides && !it.Asking.empty() && !link.Reporting)
       report(counter, link);
-    return;
+    if (!decides)
+      return;
   }
+  it.Unanswered = 0;
   auto asking = std::exchange(it.Asking, {});
   if (counter == Self) {
     auto grant = Counter.handle({name, std::exchange(it.Unreported, 0),
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -49,7 +49,7 @@
 inline constexpr milliseconds CounterPause{1'000};
 /// Interval of the reports that renew delegations. One of them may be lost
 /// before a delegation ends.
-inline constexpr milliseconds RenewalPause{200};
+inline constexpr milliseconds RenewalPause{400};
 /// Interval of reports while the counter holds no valid delegation.
 inline constexpr milliseconds DelegationRetry{100};
 /// Time without a failure after which shares return to a counter. A share that
@@ -168,6 +168,8 @@
     /// Whether a single operation may run beyond this daemon's share.
     std::optional<bool> MayExceed;
     std::uint32_t Unreported = 0;
+    /// Reports in a row without an answer.
+    std::size_t Unanswered = 0;
     std::uint32_t Sent = 0; ///< Reported, and not answered yet.
     std::vector<OnQuotaDecision> Asking;
     QuotaMode Mode = QuotaMode::Report;
--- a/src/quota/share_delegation.h
+++ b/src/quota/share_delegation.h
@@ -29,7 +29,7 @@
 /// Validity of a delegation from the issue of its challenge. Longer leaves the
 /// share of a lost counter or of a restarted daemon unused; shorter ends
 /// delegations when a busy VM answers late.
-inline constexpr std::chrono::milliseconds DelegationTime{500};
+inline constexpr std::chrono::seconds DelegationTime{1};
 /// Time for which a counter remembers a delegation that has ended. It exceeds
 /// the validity of any challenge that a late report may echo.
 inline constexpr std::chrono::seconds EndedDelegationAge{5};
