Quotas: renewals that aren't due are checked ten times a second

Cause: for each of up to eight counters in 64 daemons a daemon compared all partitions with all counters at each tick, 50 times a second. The test with 300 daemons, which took 22 s before there were eight counters, had not ended after three minutes.

Change: a counter to which nothing is to be delegated is looked at again after 100 ms.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -426,10 +426,16 @@
   for (const auto &[partition, candidates] : Candidates)
     if (auto vm = delegateTo(partition); vm.empty() || vm == Self)
       useHere(partition);
-  for (auto &[vm, link] : Links)
-    if (!link.Reporting && ((!link.Due.empty() && now >= link.NextReport) ||
-                            isRenewalDue(vm, link)))
+  for (auto &[vm, link] : Links) {
+    if (link.Reporting)
+      continue;
+    bool isDue = !link.Due.empty() && now >= link.NextReport;
+    if (isDue || isRenewalDue(vm, link))
       report(vm, link);
+    else if (now >= link.NextRenewal)
+      // Comparing all partitions with all counters each time is expensive.
+      link.NextRenewal = now + limits::DelegationRetry;
+  }
 }
 
 void AccountQuotas::report(const VmName &vm, Link &link) {
