Sessions: a full queue refuses what only the primary can run at once again

One refuses a statement at once when the queue of the only target that can run it is longer than it may wait, with the queue's retry delay; the other tried it again while its limit allows it.

Change: the first rule holds.

--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -420,7 +420,7 @@
       run.RetryAfter = limits::BusyRetryAfter;
     // Only the primary can run this statement, and waiting longer would leave
     // the caller no time to retry.
-    if (result.QueueFull && isAtPrimary(run) && !hasAccounts())
+    if (result.QueueFull && isAtPrimary(run))
       refuse(session, busyRetryAfter(run), "more waits than runs in time");
     else
       retry(session, result.Error.Kind);
--- a/tests/proxy/accounts_test.cpp
+++ b/tests/proxy/accounts_test.cpp
@@ -129,7 +129,7 @@
   serve("p", TransactionState::Open);
   REQUIRE(last(first).ok());
   std::vector<CallerId> callers;
-  for (int n = 0; n < 150; ++n) {
+  for (int n = 0; n < 300; ++n) {
     callers.push_back(sessionWith("k1"));
     send(callers.back(), StatementKind::Read, "READ a");
   }
