--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -1,5 +1,7 @@
 #include "peridotfall/admission.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -21,11 +23,6 @@
   return value * std::exp(-passed / window);
 }
 
-Duration scaled(Duration it, double by) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(it.count()) * by));
-}
-
 } // namespace
 
 Admission::Admission(std::uint32_t slots, std::uint64_t seed)
--- a/src/admission/quota.cpp
+++ b/src/admission/quota.cpp
@@ -1,5 +1,7 @@
 #include "peridotfall/quota.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 
 namespace peridotfall {
@@ -9,14 +11,10 @@
 /// Part of the burst below which a daemon has to ask.
 constexpr double AskBelow = 0.5;
 
-double seconds(std::chrono::milliseconds it) {
-  return std::chrono::duration<double>(it).count();
-}
-
 } // namespace
 
 double toleratedExcess(const AccountQuota &quota, const QuotaTolerance &it) {
-  auto limit = quota.RatePerSecond * seconds(it.Window) + quota.Burst;
+  auto limit = quota.RatePerSecond * secondsOf(it.Window) + quota.Burst;
   return limit * it.Overshoot + it.Slack;
 }
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,5 +1,7 @@
 #include "peridotfall/placement.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -10,11 +12,6 @@
 
 constexpr Duration InfiniteCost = Duration::max();
 
-Duration scaled(Duration it, double by) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(it.count()) * by));
-}
-
 bool isFailure(AnswerCode it) {
   return it == AnswerCode::Unavailable || it == AnswerCode::ConnectionLost;
 }
--- a/src/proxy/attempt_time.cpp
+++ b/src/proxy/attempt_time.cpp
@@ -1,5 +1,7 @@
 #include "proxy/attempt_time.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 
 namespace peridotfall::proxy {
@@ -12,8 +14,7 @@
 Duration readWait(std::optional<Duration> goalLeft, Duration left) {
   bool meetsGoal = goalLeft && *goalLeft > Duration{};
   auto useful = meetsGoal ? std::min(*goalLeft, left) : left;
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(useful.count()) * limits::ReadWaitShare));
+  return scaled(useful, limits::ReadWaitShare);
 }
 
 std::optional<TimePoint> busyRetryAt(unsigned refusals,
--- a/src/proxy/decaying_sum.h
+++ b/src/proxy/decaying_sum.h
@@ -4,6 +4,7 @@
 #ifndef PERIDOTFALL_PROXY_DECAYING_SUM_H
 #define PERIDOTFALL_PROXY_DECAYING_SUM_H
 
+#include "base/durations.h"
 #include "peridotfall/clock.h"
 
 #include <cmath>
@@ -28,7 +29,7 @@
     return Seconds * std::exp2(-Lives(now - UpdatedAt).count());
   }
   void add(Duration it, TimePoint now) {
-    Seconds = at(now) + std::chrono::duration<double>(it).count();
+    Seconds = at(now) + secondsOf(it);
     UpdatedAt = now;
   }
 };
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -1,5 +1,6 @@
 #include "proxy/metrics.h"
 
+#include "base/durations.h"
 #include "telemetry/metrics.h"
 
 namespace peridotfall::proxy {
@@ -35,10 +36,6 @@
   return prometheus::BuildHistogram().Name(name).Help(help).Register(to);
 }
 
-double secondsOf(Duration it) {
-  return std::chrono::duration<double>(it).count();
-}
-
 } // namespace
 
 ProxyMetrics makeProxyMetrics() {
--- a/src/proxy/primary_wait.cpp
+++ b/src/proxy/primary_wait.cpp
@@ -1,21 +1,14 @@
 #include "proxy/primary_wait.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 #include <vector>
 
 namespace peridotfall::proxy {
 
-namespace {
-
 using std::chrono::milliseconds;
 
-Duration scaled(Duration it, double by) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(it.count()) * by));
-}
-
-} // namespace
-
 void PrimaryAbsences::note(bool present, TimePoint now) {
   if (!present) {
     if (WasPresent && !Since)
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -2,6 +2,7 @@
 
 #include "proxy/sessions.h"
 
+#include "base/durations.h"
 #include "telemetry/events.h"
 
 #include <algorithm>
@@ -15,11 +16,6 @@
 
 namespace {
 
-Duration share(milliseconds whole, double part) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(Duration(whole).count()) * part));
-}
-
 /// \return the code by which placement classifies the result.
 AnswerCode codeOf(const BatchResult &result) {
   if (result.End == BatchEnd::NotRun)
@@ -218,7 +214,7 @@
   if (hasAccounts())
     return latestStart(run.Deadline, run.AssignedRoute.StatementLimit);
   return run.StartedAt +
-         share(run.AssignedRoute.StatementLimit, limits::PrimaryWaitShare);
+         scaled(run.AssignedRoute.StatementLimit, limits::PrimaryWaitShare);
 }
 
 void Sessions::park(Session &session) {
@@ -348,7 +344,7 @@
   auto batch = composeFirstBatch(session, atPrimary, notBefore);
   bool repeatable = !writes(run.Request);
   auto timeout = std::max<Duration>(
-      share(run.AssignedRoute.StatementLimit, limits::ReadTimeoutShare),
+      scaled(run.AssignedRoute.StatementLimit, limits::ReadTimeoutShare),
       limits::MinReadTimeout);
   batch.Timeout = repeatable ? std::min<Duration>(left, timeout) : left;
   // When all callers return at once after an outage, a read that only the
--- a/src/quota/paced_bucket.cpp
+++ b/src/quota/paced_bucket.cpp
@@ -1,5 +1,7 @@
 #include "quota/paced_bucket.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,10 +15,6 @@
 /// Returned for an account that may run nothing.
 constexpr std::chrono::seconds LongestWait{10};
 
-double seconds(Duration it) {
-  return std::chrono::duration<double>(it).count();
-}
-
 } // namespace
 
 PacedBucket::PacedBucket(const AccountQuota &quota, double excess,
@@ -26,7 +24,7 @@
 }
 
 void PacedBucket::update(const AccountQuota &quota, double excess) {
-  auto window = seconds(Window);
+  auto window = secondsOf(Window);
   Pace = quota.RatePerSecond + (window > 0 ? quota.Burst / window : 0);
   // A limit of zero has an excess for operations that are under way only.
   Excess = Pace > 0 ? excess : 0;
@@ -62,7 +60,7 @@
 Duration PacedBucket::untilNext() const {
   if (Level >= 1)
     return {};
-  auto longest = seconds(LongestWait);
+  auto longest = secondsOf(LongestWait);
   auto pace = Pace * Share;
   auto wait = pace > 0 ? (1 - Level) / pace : longest;
   return std::chrono::duration_cast<Duration>(
--- a/src/quota/share_delegation.cpp
+++ b/src/quota/share_delegation.cpp
@@ -1,5 +1,7 @@
 #include "quota/share_delegation.h"
 
+#include "base/durations.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -15,10 +17,6 @@
           .count());
 }
 
-double seconds(Duration it) {
-  return std::chrono::duration<double>(it).count();
-}
-
 } // namespace
 
 std::uint32_t partitionOf(const AccountName &account) {
@@ -215,7 +213,7 @@
   auto &it = All[partition];
   if (now >= it.SumUntil)
     sum(it, now);
-  HeldShares out{it.Sum, it.Sum, it.Sum * seconds(now - since)};
+  HeldShares out{it.Sum, it.Sum, it.Sum * secondsOf(now - since)};
   if (it.LastBegin <= since)
     return out;
   out.Kept = 0;
@@ -225,7 +223,7 @@
       continue;
     if (entry.Since <= since)
       out.Kept += 1 / it.Daemons;
-    out.Seconds += seconds(now - std::max(entry.Since, since)) / it.Daemons;
+    out.Seconds += secondsOf(now - std::max(entry.Since, since)) / it.Daemons;
   }
   return out;
 }
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -1,5 +1,6 @@
 #include "telemetry/metrics.h"
 
+#include "base/durations.h"
 #include "telemetry/events.h"
 
 #include <prometheus/text_serializer.h>
@@ -129,10 +130,6 @@
   out.push_back(std::move(broken));
 }
 
-double secondsOf(Duration it) {
-  return std::chrono::duration<double>(it).count();
-}
-
 std::uint64_t valueOf(Counter it) {
   return static_cast<std::uint64_t>(it->Value());
 }
