Quotas: one list of members, no copies where a counter is chosen

The list of registered daemons was handed over with each suspicion, and each time the accounts' entries were reset and all daemons hashed anew for each; an unchanged list is now passed over. Two lists of members, of which one was in use, are one. Choosing a counter for an operation copied nine names. A sent report is a list of uses instead of three lists side by side. Decisions are unchanged.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -32,10 +32,10 @@
 
 } // namespace
 
-bool CounterPlan::setMembers(const std::vector<Member> &live) {
+bool CounterPlan::setMembers(const std::vector<Member> &members) {
   std::uint32_t widest = 0;
   Daemons = 0;
-  for (const auto &it : live) {
+  for (const auto &it : members) {
     if (!mayCount(it))
       continue;
     widest = std::max(widest, it.LinkMbps);
@@ -43,7 +43,7 @@
   }
   std::vector<Member> wide;
   std::copy_if(
-      live.begin(), live.end(), std::back_inserter(wide),
+      members.begin(), members.end(), std::back_inserter(wide),
       [&](const Member &it) { return mayCount(it) && it.LinkMbps == widest; });
   Ranks.setMembers(wide);
   auto before = std::exchange(Counters, {});
@@ -144,7 +144,7 @@
     next.insert(Accounts.extract(known));
   }
   auto removed = std::exchange(Accounts, std::move(next));
-  Plan.setMembers(Registered.empty() ? Live : Known);
+  Plan.setMembers(Members);
   assignCounters();
   for (const auto &[name, it] : removed)
     for (const auto &done : it.Asking)
@@ -152,16 +152,17 @@
 }
 
 void AccountQuotas::updateMembers(const std::vector<Member> &live) {
-  Live = live;
   LiveNames.clear();
   for (const auto &it : live)
     LiveNames.insert(it.Vm);
   if (Registered.empty())
-    updatePlan(Live);
+    updatePlan(live);
 }
 
 void AccountQuotas::updateRegistered(const std::vector<Member> &known) {
-  Known = known;
+  // Suspicions, which come and go in a network partition, change nothing here.
+  if (!Registered.empty() && known == Members)
+    return;
   Registered.clear();
   for (const auto &it : known)
     if (!it.ServesTarget)
@@ -169,15 +170,16 @@
   Delegated.setDaemons(static_cast<std::uint32_t>(Registered.size()));
   for (auto &[name, it] : Accounts)
     it.MayExceed.reset();
-  updatePlan(Known);
+  updatePlan(known);
 }
 
 void AccountQuotas::updatePlan(const std::vector<Member> &members) {
+  Members = members;
   // Members change often while a fleet starts, and there may be no accounts.
   if (Accounts.empty())
     return;
   // Most changes touch no counter; there may be many accounts.
-  if (Plan.setMembers(members))
+  if (Plan.setMembers(Members))
     assignCounters();
 }
 
@@ -242,20 +244,24 @@
   auto found = Candidates.find(account.Partition);
   if (found == Candidates.end())
     return {};
-  std::vector<VmName> order{delegateTo(account.Partition)};
-  order.insert(order.end(), found->second.begin(), found->second.end());
-  std::vector<VmName> asked;
-  for (const auto &vm : order) {
-    bool known = std::find(asked.begin(), asked.end(), vm) != asked.end();
-    if (vm.empty() || known || !isUsable(vm))
+  auto preferred = delegateTo(account.Partition);
+  std::vector<const VmName *> order{&preferred};
+  for (const auto &vm : found->second)
+    if (vm != preferred)
+      order.push_back(&vm);
+  const VmName *refusing = nullptr;
+  std::size_t asked = 0;
+  for (const auto *vm : order) {
+    if (!isUsable(*vm))
       continue;
-    if (!isRefused(account, vm))
-      return vm;
-    asked.push_back(vm);
-    if (asked.size() == limits::CountersAsked)
+    if (!isRefused(account, *vm))
+      return *vm;
+    if (!refusing)
+      refusing = vm;
+    if (++asked == limits::CountersAsked)
       break;
   }
-  return asked.empty() ? VmName() : asked.front();
+  return refusing ? *refusing : VmName();
 }
 
 VmName AccountQuotas::delegateTo(std::uint32_t partition) const {
@@ -446,13 +452,11 @@
     if (found == Accounts.end())
       continue;
     auto &it = found->second;
-    sent.Accounts.push_back(name);
-    sent.Run.push_back(std::exchange(it.Unreported, 0));
-    it.Sent += sent.Run.back();
-    sent.Asking.push_back(std::exchange(it.Asking, {}));
+    const auto &use = sent.Uses.emplace_back(SentUse{
+        name, std::exchange(it.Unreported, 0), std::exchange(it.Asking, {})});
+    it.Sent += use.Run;
     message.Uses.push_back(
-        {name, sent.Run.back(),
-         static_cast<std::uint32_t>(sent.Asking.back().size())});
+        {name, use.Run, static_cast<std::uint32_t>(use.Asking.size())});
   }
   sent.ReleasesAll = !Registered.empty() && !Own.isUsable(Time.now());
   if (!addDelegations(vm, link, message) && message.Uses.empty())
@@ -471,10 +475,10 @@
   bool answered = result && result.value().Status == http::StatusOk;
   auto answer = answered ? messages::decodeUseAnswer(result.value().Body)
                          : Result<messages::UseAnswer>(Error{});
-  bool valid = answer && answer.value().Grants.size() == sent.Accounts.size();
-  for (std::size_t n = 0; n < sent.Accounts.size(); ++n)
-    if (auto it = Accounts.find(sent.Accounts[n]); it != Accounts.end())
-      it->second.Sent -= std::min(it->second.Sent, sent.Run[n]);
+  bool valid = answer && answer.value().Grants.size() == sent.Uses.size();
+  for (const auto &use : sent.Uses)
+    if (auto it = Accounts.find(use.Account); it != Accounts.end())
+      it->second.Sent -= std::min(it->second.Sent, use.Run);
   auto link = Links.find(vm);
   if (link != Links.end()) {
     link->second.Reporting = false;
@@ -495,8 +499,9 @@
   Own.handleAnswer(vm, answer.value(), Time.now());
   if (sent.ReleasesAll && answer.value().Next)
     handleRelease(vm);
-  for (std::size_t n = 0; n < sent.Accounts.size(); ++n)
-    handleGrant(vm, sent.Accounts[n], answer.value().Grants[n], sent.Asking[n]);
+  for (std::size_t n = 0; n < sent.Uses.size(); ++n)
+    handleGrant(vm, sent.Uses[n].Account, answer.value().Grants[n],
+                sent.Uses[n].Asking);
   // Operations may have asked while the report was under way.
   link = Links.find(vm);
   if (link == Links.end() || link->second.Reporting)
@@ -545,10 +550,10 @@
 /// Whether the counter has counted the report is unknown. It is sent again: an
 /// account that is counted twice gets less for a moment, never more.
 void AccountQuotas::handleNoAnswer(const SentReport &sent) {
-  for (std::size_t n = 0; n < sent.Accounts.size(); ++n) {
-    auto found = Accounts.find(sent.Accounts[n]);
+  for (const auto &use : sent.Uses) {
+    auto found = Accounts.find(use.Account);
     if (found == Accounts.end()) {
-      for (const auto &done : sent.Asking[n])
+      for (const auto &done : use.Asking)
         done({});
       continue;
     }
@@ -557,10 +562,9 @@
     it.Mode = QuotaMode::Ask;
     it.ModeUntil = Time.now() + limits::ModeAge;
     ++it.Unanswered;
-    it.Unreported += sent.Run[n];
-    it.Asking.insert(it.Asking.end(), sent.Asking[n].begin(),
-                     sent.Asking[n].end());
-    reportAgain(sent.Accounts[n]);
+    it.Unreported += use.Run;
+    it.Asking.insert(it.Asking.end(), use.Asking.begin(), use.Asking.end());
+    reportAgain(use.Account);
   }
 }
 
@@ -572,10 +576,11 @@
   if (!counter.empty() && counter != Self) {
     auto &link = Links.at(counter);
     link.Due.insert(name);
-    if (!decides && !it.Asking.empty() && !link.Reporting)
-      report(counter, link);
-    if (!decides)
+    if (!decides) {
+      if (!it.Asking.empty() && !link.Reporting)
+        report(counter, link);
       return;
+    }
   }
   it.Unanswered = 0;
   auto asking = std::exchange(it.Asking, {});
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -94,7 +94,7 @@
 class CounterPlan {
 public:
   /// \return whether other daemons count from now on.
-  bool setMembers(const std::vector<Member> &live);
+  bool setMembers(const std::vector<Member> &members);
   /// \return the daemons that may count the account, the one that does first.
   std::vector<Member> countersOf(const AccountName &account) const;
   std::vector<Member> countersOf(std::uint32_t partition) const;
@@ -185,12 +185,15 @@
     TimePoint FailedUntil{};
     std::set<AccountName> Due; ///< With something to report.
   };
+  struct SentUse {
+    AccountName Account;
+    std::uint32_t Run = 0;
+    std::vector<OnQuotaDecision> Asking;
+  };
   struct SentReport {
     /// Releases what a predecessor of this process may have delegated.
     bool ReleasesAll = false;
-    std::vector<AccountName> Accounts;
-    std::vector<std::uint32_t> Run;
-    std::vector<std::vector<OnQuotaDecision>> Asking;
+    std::vector<SentUse> Uses;
   };
 
   void updatePlan(const std::vector<Member> &members);
@@ -234,12 +237,11 @@
   VmName Self;
   const Clock &Time;
   milliseconds ReturnAfter; ///< Without a failure of the counter.
-  std::vector<Member> Live;
   std::set<VmName> LiveNames;
-  /// With suspected ones. Counters are chosen among these: in a network
-  /// partition suspicions come and go, and a share that moves to another
-  /// counter grants nothing for a while.
-  std::vector<Member> Known;
+  /// Counters are chosen among these: all registered daemons, suspected ones
+  /// included, once they are known. In a network partition suspicions come and
+  /// go, and a share that moves to another counter grants nothing for a while.
+  std::vector<Member> Members;
   CounterPlan Plan; ///< Unused without accounts.
   QuotaTolerance Tolerance;
   QuotaProcess Process;
