Sessions: a queue's retry delay is passed on, not stored

Two functions read the delay that a queue named, of which one bounded what comes from another daemon; a field of each statement carried it between them and was cleared before half of its readers saw it. It is bounded once where the batch's result arrives and then is a parameter.

--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -132,8 +132,6 @@
     unsigned Attempts = 0;
     /// Attempts refused as busy, where waits follow from the time left.
     unsigned BusyRefusals = 0;
-    /// When the target that refused the last attempt expects to have room.
-    std::optional<Duration> RetryAfter;
     bool PrimaryOnly = false;
     bool InFlight = false;          ///< Counted as running at its target.
     bool Parked = false;            ///< Waiting for a primary.
@@ -203,8 +201,6 @@
   /// \return when the answer stops being useful to the caller (the route's
   /// goal); nothing: it has no such time.
   static std::optional<TimePoint> goalOf(const StatementRun &run);
-  /// \return the retry-after for a statement that found no connection or slot.
-  static milliseconds busyRetryAfter(const StatementRun &run);
   /// \return when a statement stops waiting for a primary.
   TimePoint primaryWaitDeadline(const StatementRun &run) const;
   /// \return whether a statement waits for a primary, and when to retry if not.
@@ -229,10 +225,13 @@
   void runOnLease(Session &session);
   void handleLeaseResult(Session &session, const BatchResult &result);
   void handleLostLease(Session &session, const BatchResult &result);
-  void retry(Session &session, ErrorKind why);
+  /// \param retryAfter when the target expects to have room; empty: not known.
+  void retry(Session &session, ErrorKind why,
+             std::optional<milliseconds> retryAfter = {});
   void retryBusy(Session &session, TimePoint now);
   /// Tries again at another target, or later if all have refused.
-  void retryWhileTimeLeft(Session &session, std::optional<Duration> retryAfter);
+  void retryWhileTimeLeft(Session &session,
+                          std::optional<milliseconds> retryAfter);
   /// \return the attempts that failed for another reason than load.
   static unsigned failedAttempts(const StatementRun &run) {
     return run.Attempts - run.BusyRefusals;
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -45,6 +45,19 @@
          result.Answers[0].ok();
 }
 
+/// \return when the queue that refused the batch may have room; empty if it was
+/// not refused for load.
+std::optional<milliseconds> queueRetryAfter(const BatchResult &result) {
+  if (!result.QueueFull)
+    return std::nullopt;
+  if (!result.RetryAfter)
+    return limits::BusyRetryAfter;
+  // It may come from another daemon.
+  return std::clamp<milliseconds>(
+      std::chrono::ceil<milliseconds>(*result.RetryAfter),
+      limits::MinQueueRetryAfter, limits::MaxQueueRetryAfter);
+}
+
 } // namespace
 
 void Sessions::beginRun(Session &session, Statement it) {
@@ -201,15 +214,6 @@
   return run.StartedAt + run.AssignedRoute.Goal;
 }
 
-milliseconds Sessions::busyRetryAfter(const StatementRun &run) {
-  if (!run.RetryAfter)
-    return limits::BusyRetryAfter;
-  // It may come from another daemon.
-  return std::clamp<milliseconds>(
-      std::chrono::ceil<milliseconds>(*run.RetryAfter),
-      limits::MinQueueRetryAfter, limits::MaxQueueRetryAfter);
-}
-
 TimePoint Sessions::primaryWaitDeadline(const StatementRun &run) const {
   if (hasAccounts())
     return latestStart(run.Deadline, run.AssignedRoute.StatementLimit);
@@ -338,7 +342,7 @@
   auto now = Time.now();
   auto left = run.Deadline - now;
   if (left < minAttemptTimeOf(run)) {
-    refuse(session, busyRetryAfter(run), "no time left");
+    refuse(session, limits::BusyRetryAfter, "no time left");
     return;
   }
   auto batch = composeFirstBatch(session, atPrimary, notBefore);
@@ -411,15 +415,12 @@
     return;
   case BatchEnd::NotRun:
     run.Lease = {};
-    run.RetryAfter = result.RetryAfter;
-    if (result.QueueFull && !run.RetryAfter)
-      run.RetryAfter = limits::BusyRetryAfter;
     // Only the primary can run this statement, and waiting longer would leave
     // the caller no time to retry.
-    if (result.QueueFull && isAtPrimary(run))
-      refuse(session, busyRetryAfter(run), "more waits than runs in time");
+    if (auto after = queueRetryAfter(result); after && isAtPrimary(run))
+      refuse(session, *after, "more waits than runs in time");
     else
-      retry(session, result.Error.Kind);
+      retry(session, result.Error.Kind, after);
     return;
   case BatchEnd::Lost:
     run.Lease = {};
@@ -559,7 +560,8 @@
                           limits::BusyRetryAfter.count()));
 }
 
-void Sessions::retry(Session &session, ErrorKind why) {
+void Sessions::retry(Session &session, ErrorKind why,
+                     std::optional<milliseconds> retryAfter) {
   auto &run = *session.Current;
   auto now = Time.now();
   countRetry(Metrics, nameOf(why));
@@ -568,7 +570,6 @@
                   field("target", run.Target.Value), field("why", nameOf(why)),
                   field("tries", run.Attempts)});
   run.Avoid = run.Target;
-  auto retryAfter = std::exchange(run.RetryAfter, std::nullopt);
   bool busy = why == ErrorKind::Busy || why == ErrorKind::ConnectionLimit;
   if (busy && hasAccounts()) {
     retryWhileTimeLeft(session, retryAfter);
@@ -581,7 +582,7 @@
   if (now + minAttemptTimeOf(run) >= run.Deadline ||
       failedAttempts(run) >= limits::MaxAttempts) {
     refuse(session,
-           run.PrimaryOnly ? primaryRetryAfter(run) : busyRetryAfter(run),
+           run.PrimaryOnly ? primaryRetryAfter(run) : limits::BusyRetryAfter,
            nameOf(why));
     return;
   }
@@ -592,7 +593,7 @@
 /// again while its limit allows it. Other targets may have room now; once they
 /// have refused it too, it waits.
 void Sessions::retryWhileTimeLeft(Session &session,
-                                  std::optional<Duration> retryAfter) {
+                                  std::optional<milliseconds> retryAfter) {
   auto &run = *session.Current;
   auto now = Time.now();
   ++run.BusyRefusals;
@@ -611,8 +612,7 @@
     pause(run, WaitReason::Slot, *at);
     return;
   }
-  auto after = retryAfter.value_or(limits::BusyRetryAfter);
-  refuse(session, std::chrono::ceil<milliseconds>(after),
+  refuse(session, retryAfter.value_or(limits::BusyRetryAfter),
          retryAfter ? "more waits than runs in time" : nameOf(ErrorKind::Busy));
 }
 
@@ -638,7 +638,7 @@
   auto span = std::min(limits::BusyRetryDelay * run.Attempts,
                        limits::MaxBusyRetryDelay);
   if (now + span >= primaryWaitDeadline(run))
-    refuse(session, busyRetryAfter(run), nameOf(ErrorKind::Busy));
+    refuse(session, limits::BusyRetryAfter, nameOf(ErrorKind::Busy));
   else
     pause(run, WaitReason::Slot, now + span);
 }
