--- a/src/proxy/holder_paths.h
+++ b/src/proxy/holder_paths.h
@@ -94,7 +94,7 @@
   std::optional<VmName> choose(const VmName &self, bool selfFree) const;
   /// \param selfIdle whether \p self has an idle connection of the account.
   /// \return the holder for a statement of the account, by rendezvous hashing;
-  /// the next ones if it is much busier. Without account, as above.
+  /// the next ones if it is much busier.
   std::optional<VmName> chooseFor(const AccountName &account,
                                   const VmName &self, bool selfIdle,
                                   TimePoint now) const;
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -513,12 +513,9 @@
 }
 
 bool TargetPool::isFree(const AccountName &account) const {
-  bool idle =
-      std::any_of(Connections.begin(), Connections.end(), [&](const auto &it) {
-        return it.second.State == Phase::Idle && it.second.Account == account;
-      });
-  return Waiting.empty() && occupied() < MaxRunning &&
-         (idle || Connections.size() < Capacity);
+  bool hasRoom = Waiting.empty() && occupied() < MaxRunning &&
+                 Connections.size() < Capacity;
+  return hasRoom || hasIdle(account);
 }
 
 void TargetPool::tick() {
