--- a/tests/proxy/accounts_test.cpp
+++ b/tests/proxy/accounts_test.cpp
@@ -121,19 +121,7 @@
 TEST_CASE_FIXTURE(AccountsFixture,
                   "queue refuses an account's statements, its callers return "
                   "one after the other") {
-  constexpr milliseconds AnswerTime{60};
-  auto first = sessionWith("k1");
-  send(first, StatementKind::Read, "READ a");
-  completeHandshakes();
-  Time.advance(AnswerTime);
-  serve("p", TransactionState::Open);
-  REQUIRE(last(first).ok());
-  std::vector<CallerId> callers;
-  for (int n = 0; n < 300; ++n) {
-    callers.push_back(sessionWith("k1"));
-    send(callers.back(), StatementKind::Read, "READ a");
-  }
-  pass(milliseconds(20));
+  auto callers = readAtSlowPrimary([this] { return sessionWith("k1"); }, 300);
   std::vector<std::string> refusals;
   for (auto it : callers)
     if (!answers(it).empty())
--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <doctest/doctest.h>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -218,6 +219,26 @@
     serve("p", TransactionState::Open);
     REQUIRE(last(caller).ok());
   }
+  /// \param open starts a session of a route to the primary.
+  /// \return \p count callers, each of which has sent a read to the primary,
+  /// whose last answer took 60 ms.
+  std::vector<CallerId> readAtSlowPrimary(const std::function<CallerId()> &open,
+                                          std::size_t count) {
+    constexpr milliseconds AnswerTime{60};
+    auto first = open();
+    send(first, StatementKind::Read, "READ a");
+    completeHandshakes();
+    Time.advance(AnswerTime);
+    serve("p", TransactionState::Open);
+    REQUIRE(last(first).ok());
+    std::vector<CallerId> out;
+    while (out.size() < count) {
+      out.push_back(open());
+      send(out.back(), StatementKind::Read, "READ a");
+    }
+    pass(milliseconds(20));
+    return out;
+  }
   void pass(Duration span) {
     constexpr milliseconds Step{20};
     for (Duration done{}; done < span; done += Step) {
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -445,19 +445,7 @@
 TEST_CASE_FIXTURE(ProxyFixture,
                   "queue longer than a statement may wait, its caller is told "
                   "at once") {
-  constexpr milliseconds AnswerTime{60};
-  auto first = session("orders");
-  send(first, StatementKind::Read, "READ a");
-  completeHandshakes();
-  Time.advance(AnswerTime);
-  serve("p", TransactionState::Open);
-  REQUIRE(last(first).ok());
-  std::vector<CallerId> callers;
-  for (int n = 0; n < 150; ++n) {
-    callers.push_back(session("orders"));
-    send(callers.back(), StatementKind::Read, "READ a");
-  }
-  pass(milliseconds(20));
+  auto callers = readAtSlowPrimary([this] { return session("orders"); }, 150);
   CHECK(answers(callers.front()).empty());
   REQUIRE_FALSE(answers(callers.back()).empty());
   CHECK(last(callers.back()).Error->Kind == ErrorKind::Busy);
