Membership: only changes of the live members count as a change

Cause: each further daemon that suspects a member raised the generation, and each generation has all users of the member list update what they derive from it. The newest changes were found by sorting all records for each message, comparing whole records where many came with one list; neighbours on the hash rings by sorting all members at each generation.

Change: the generation covers what live() and known() return. The records are kept in the order of their last change; successors are found by passes over cached hashes. Both tests of the order and of the generation are new; the ring's neighbours stay the same (every member is probed by two).

--- a/include/peridotfall/membership.h
+++ b/include/peridotfall/membership.h
@@ -9,11 +9,13 @@
 
 #include <compare>
 #include <cstdint>
+#include <list>
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace peridotfall {
@@ -108,6 +110,9 @@
 class Membership {
 public:
   Membership(Member self, MembershipOptions options, std::uint64_t seed);
+  // Entries hold iterators.
+  Membership(const Membership &) = delete;
+  Membership &operator=(const Membership &) = delete;
 
   /// Merges the platform's list.
   void updateList(const std::vector<Member> &list, TimePoint now);
@@ -148,7 +153,10 @@
   /// \return this daemon's own observations since the last call, to be
   /// announced to others.
   std::vector<MemberRecord> takeObserved();
-  /// Changes whenever the result of live() may have changed.
+  /// Changes whenever the result of live() or known() has changed. A change of
+  /// a record that leaves both as they are, such as one more daemon that
+  /// suspects a member, does not count: in a fleet that starts or is cut, these
+  /// are most changes.
   std::uint64_t generation() const { return Generation; }
 
 private:
@@ -159,24 +167,36 @@
     TimePoint NextProbe;
     TimePoint FirstSeen;
     TimePoint ChangedAt;
+    std::list<VmName>::iterator Recent; ///< In RecentlyChanged, if InRecent.
+    bool InRecent = false;
     bool ListLeaving = false; ///< According to the platform's list.
     std::string ListAddress;
+    std::uint64_t RingHash = 0; ///< Place on the hash rings; 0: not computed.
+    /// The state that Generation covers.
+    std::optional<std::pair<bool, Member>> Counted;
   };
 
   static Member effective(const Entry &it);
+  static std::uint64_t ringHash(Entry &it);
   bool isSuspect(const MemberRecord &it) const;
   void updateListed(Entry &entry, const Member &listed, TimePoint now);
   Entry *find(const VmName &vm);
   void merge(const MemberRecord &record, TimePoint now);
   void recordObserved(Entry &it, TimePoint now);
   void markChanged(Entry &it, TimePoint now);
+  /// Raises Generation if the entry's part of live() or known() has changed.
+  void countChange(Entry &it);
+  bool isOnRing(const MemberRecord &it) const;
+  std::vector<VmName> successors(bool domainOnly, std::size_t count);
   void refute(std::uint64_t version, TimePoint now);
-  std::set<VmName> neighbours();
+  const std::set<VmName> &neighbours();
 
   MembershipOptions Options;
   std::mt19937_64 Random;
   VmName Self;
   std::map<VmName, Entry> Entries;
+  /// Members by the time of their last change, newest first.
+  std::list<VmName> RecentlyChanged;
   std::vector<MemberRecord> Observed;
   std::uint64_t Generation = 1;
   std::uint64_t NeighboursGeneration = 0; ///< At which Neighbours was computed.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -2,32 +2,10 @@
 #include "membership/stable_hash.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace peridotfall {
 
-namespace {
-
-/// Adds the successors of \p self on the ring of hashed names to \p out.
-void addSuccessors(std::vector<std::pair<std::uint64_t, VmName>> ring,
-                   const VmName &self, std::size_t count,
-                   std::set<VmName> &out) {
-  std::sort(ring.begin(), ring.end());
-  auto it = std::find_if(ring.begin(), ring.end(),
-                         [&](const auto &n) { return n.second == self; });
-  if (it == ring.end())
-    return;
-  auto at = static_cast<std::size_t>(it - ring.begin());
-  for (std::size_t n = 1; n < ring.size() && count > 0; ++n) {
-    const auto &vm = ring[(at + n) % ring.size()].second;
-    if (out.insert(vm).second)
-      --count;
-  }
-}
-
-} // namespace
-
 Membership::Membership(Member self, MembershipOptions options,
                        std::uint64_t seed)
     : Options(options), Random(seed), Self(self.Vm) {
@@ -47,6 +25,20 @@
 
 void Membership::markChanged(Entry &it, TimePoint now) {
   it.ChangedAt = now;
+  if (it.InRecent)
+    RecentlyChanged.splice(RecentlyChanged.begin(), RecentlyChanged, it.Recent);
+  else
+    RecentlyChanged.push_front(it.Record.Info.Vm);
+  it.Recent = RecentlyChanged.begin();
+  it.InRecent = true;
+  countChange(it);
+}
+
+void Membership::countChange(Entry &it) {
+  std::pair now(isSuspect(it.Record), effective(it));
+  if (it.Counted == now)
+    return;
+  it.Counted = std::move(now);
   ++Generation;
 }
 
@@ -99,35 +91,82 @@
   for (auto it = Entries.begin(); it != Entries.end();) {
     bool drop = listed.count(it->first) == 0 &&
                 now - it->second.FirstSeen > Options.ListLag;
-    if (drop)
+    if (drop) {
       ++Generation;
+      if (it->second.InRecent)
+        RecentlyChanged.erase(it->second.Recent);
+    }
     it = drop ? Entries.erase(it) : std::next(it);
   }
 }
 
-std::set<VmName> Membership::neighbours() {
+std::uint64_t Membership::ringHash(Entry &it) {
+  if (it.RingHash == 0)
+    it.RingHash = stableHash(it.Record.Info.Vm.Value, "ring");
+  return it.RingHash;
+}
+
+/// Suspected members are skipped and left to the random comparisons. Otherwise
+/// their prober would keep probing them, and nobody would probe the next live
+/// member.
+bool Membership::isOnRing(const MemberRecord &it) const {
+  bool skip = isSuspect(it) && Entries.size() > Options.SmallFleet;
+  return !it.Info.ServesTarget && !skip;
+}
+
+/// \return the next members on the ring of hashed names after this daemon, by
+/// one pass over all members for each: sorting the ring at each change of a
+/// member would take longer.
+std::vector<VmName> Membership::successors(bool domainOnly, std::size_t count) {
+  auto &own = Entries[Self];
+  std::pair<std::uint64_t, const VmName *> last(ringHash(own), &Self);
+  auto less = [](const auto &a, const auto &b) {
+    return a.first != b.first ? a.first < b.first : *a.second < *b.second;
+  };
+  std::vector<VmName> out;
+  while (out.size() < count) {
+    // The next one after the last, or else the first of the ring.
+    std::optional<std::pair<std::uint64_t, const VmName *>> next;
+    std::optional<std::pair<std::uint64_t, const VmName *>> first;
+    for (auto &[vm, it] : Entries) {
+      bool elsewhere =
+          domainOnly && it.Record.Info.Domain != own.Record.Info.Domain;
+      if (elsewhere || !isOnRing(it.Record))
+        continue;
+      std::pair place(ringHash(it), &vm);
+      if (!first || less(place, *first))
+        first = place;
+      if (less(last, place) && (!next || less(place, *next)))
+        next = place;
+    }
+    auto chosen = next ? next : first;
+    if (!chosen || *chosen->second == Self)
+      break;
+    out.push_back(*chosen->second);
+    last = *chosen;
+  }
+  return out;
+}
+
+const std::set<VmName> &Membership::neighbours() {
   if (NeighboursGeneration == Generation)
     return Neighbours;
   NeighboursGeneration = Generation;
   Neighbours.clear();
-  auto domain = Entries[Self].Record.Info.Domain;
-  std::vector<std::pair<std::uint64_t, VmName>> all;
-  std::vector<std::pair<std::uint64_t, VmName>> own;
-  for (const auto &[vm, it] : Entries) {
-    // Suspected members are skipped and left to the random comparisons below.
-    // Otherwise their prober would keep probing them, and nobody would probe
-    // the next live member.
-    bool skip = isSuspect(it.Record) && Entries.size() > Options.SmallFleet;
-    if (it.Record.Info.ServesTarget || skip)
-      continue;
-    all.emplace_back(stableHash(vm.Value, "ring"), vm);
-    if (it.Record.Info.Domain == domain)
-      own.push_back(all.back());
+  auto all = static_cast<std::size_t>(
+      std::count_if(Entries.begin(), Entries.end(), [this](const auto &it) {
+        return isOnRing(it.second.Record);
+      }));
+  for (auto &vm : successors(true, Options.DomainNeighbours))
+    Neighbours.insert(std::move(vm));
+  // One of the fleet's successors may be a neighbour in the domain already.
+  auto rest = all <= Options.SmallFleet ? all : Options.FleetNeighbours;
+  auto more = successors(false, rest + Neighbours.size());
+  for (const auto &vm : more) {
+    if (rest == 0)
+      break;
+    rest -= Neighbours.insert(vm).second;
   }
-  auto rest =
-      all.size() <= Options.SmallFleet ? all.size() : Options.FleetNeighbours;
-  addSuccessors(std::move(own), Self, Options.DomainNeighbours, Neighbours);
-  addSuccessors(std::move(all), Self, rest, Neighbours);
   return Neighbours;
 }
 
@@ -304,18 +343,14 @@
 
 std::vector<MemberRecord>
 Membership::recentChanges(TimePoint now, std::size_t maxRecords) const {
-  std::vector<const Entry *> found;
-  for (const auto &[vm, it] : Entries)
-    if (it.Record.Info.Incarnation != 0 &&
-        now - it.ChangedAt < Options.GossipAge)
-      found.push_back(&it);
-  std::sort(found.begin(), found.end(), [](const Entry *a, const Entry *b) {
-    return std::tie(b->ChangedAt, a->Record) <
-           std::tie(a->ChangedAt, b->Record);
-  });
   std::vector<MemberRecord> out;
-  for (std::size_t n = 0; n < std::min(maxRecords, found.size()); ++n)
-    out.push_back(found[n]->Record);
+  for (const auto &vm : RecentlyChanged) {
+    const auto &it = Entries.at(vm);
+    if (out.size() >= maxRecords || now - it.ChangedAt >= Options.GossipAge)
+      break;
+    if (it.Record.Info.Incarnation != 0)
+      out.push_back(it.Record);
+  }
   return out;
 }
 
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -214,3 +214,64 @@
   View.raiseIncarnation(before);
   CHECK(View.self().Info.Incarnation == before + 10);
 }
+
+// Guards against updates without end in a fleet that is cut: each further
+// daemon that suspects a member changes its record, but not who is live.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, more daemons suspect a suspected member, live "
+                  "members count as unchanged") {
+  list({"vm-1", "vm-2", "vm-3"});
+  View.handleGossip({record("vm-2", 5, 0, {VmName("vm-3"), VmName("vm-4")})},
+                    Time.now());
+  REQUIRE_FALSE(isLive("vm-2"));
+  auto before = View.generation();
+  View.handleGossip({record("vm-2", 5, 0, {VmName("vm-5")})}, Time.now());
+  View.handleGossip({record("vm-2", 5, 0, {VmName("vm-6")})}, Time.now());
+  CHECK(View.generation() == before);
+  View.handleGossip({record("vm-2", 5, 1)}, Time.now());
+  CHECK(isLive("vm-2"));
+  CHECK(View.generation() != before);
+}
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, recent changes, come newest first and once") {
+  View.handleContact(record("vm-2", 5), Time.now());
+  Time.advance(100ms);
+  View.handleContact(record("vm-3", 5), Time.now());
+  Time.advance(100ms);
+  View.handleContact(record("vm-2", 6), Time.now());
+  auto recent = View.recentChanges(Time.now(), 10);
+  REQUIRE(recent.size() == 2);
+  CHECK(recent[0].Info.Vm.Value == "vm-2");
+  CHECK(recent[0].Info.Incarnation == 6);
+  CHECK(recent[1].Info.Vm.Value == "vm-3");
+  CHECK(View.recentChanges(Time.now(), 1).size() == 1);
+  Time.advance(20s);
+  CHECK(View.recentChanges(Time.now(), 10).empty());
+}
+
+// Guards against members that nobody probes: each one is the next of another
+// on the ring of its failure domain.
+TEST_CASE("membership, fleet of one domain, every member is probed by two") {
+  constexpr std::size_t Daemons = 40;
+  std::vector<Member> members;
+  for (std::size_t n = 0; n < Daemons; ++n)
+    members.push_back(
+        MembershipFixture::daemon("vm-" + std::to_string(n), n + 1));
+  ManualClock time;
+  std::map<VmName, std::size_t> probed;
+  for (const auto &self : members) {
+    MembershipOptions options;
+    options.ComparePeriod = std::chrono::hours(1);
+    options.FleetNeighbours = 0;
+    Membership view(self, options, 1);
+    view.updateList(members, time.now());
+    for (const auto &it : view.probesDue(time.now()))
+      view.handleAnswer(it, {it, 0, {}}, time.now());
+    time.advance(2s);
+    for (const auto &it : view.probesDue(time.now()))
+      ++probed[it.Vm];
+  }
+  for (const auto &it : members)
+    CHECK(probed[it.Vm] == 2);
+}
