Peers: updates of the members take a tenth of the processor at most

Cause: a change of members is handed to seven users, each of which takes time in proportion to the members. While a fleet starts, nearly every message changes one, so the time grows with the square of the members.

Change: after an update the next one waits nine times as long as it took, and then covers all changes since. At rest a change is handed on at once. The pause follows from the time taken and so holds at any number of members.

--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -27,7 +27,8 @@
 }
 
 void Peers::publish() {
-  if (View.generation() == Published)
+  auto began = Time.now();
+  if (View.generation() == Published || !Pace.isDue(began))
     return;
   Published = View.generation();
   auto live = View.live();
@@ -36,6 +37,7 @@
                   telemetry::field("known", View.known().size())});
   if (OnMembers)
     OnMembers(live);
+  Pace.ran(began, Time.now());
 }
 
 std::string Peers::gossipFor(const VmName &vm) {
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -8,6 +8,7 @@
 #include "peridotfall/membership.h"
 #include "proxy/failover_controller.h"
 #include "proxy/relay.h"
+#include "proxy/update_pace.h"
 
 #include <functional>
 #include <memory>
@@ -36,6 +37,8 @@
 public:
   Peers(Channels &channels, Member self, Groups &groups, const Clock &clock);
 
+  /// Called when the live members have changed; under many changes at a bounded
+  /// rate, with all changes since the last call.
   std::function<void(const std::vector<Member> &live)> OnMembers;
 
   /// Updates the membership from the store's list of daemons.
@@ -56,6 +59,7 @@
   void answerLeaderQuery(const http::Request &request,
                          const http::Respond &respond);
   std::string gossipFor(const VmName &vm);
+  /// Calls OnMembers if there are changes and an update is due.
   void publish();
 
   Channels &Links;
@@ -63,6 +67,7 @@
   const Clock &Time;
   Membership View;
   std::uint64_t Published = 0;
+  UpdatePace Pace;
 };
 
 } // namespace peridotfall::proxy
