--- a/src/messages/lease.h
+++ b/src/messages/lease.h
@@ -17,6 +17,8 @@
 inline constexpr auto RunLeasePath = "/inner/v1/lease/run";
 inline constexpr auto AbandonLeasePath = "/inner/v1/lease/abandon";
 inline constexpr auto LeaderViewPath = "/inner/v1/lead-view";
+/// A LeaderQuery that reports the group's primary as missing.
+inline constexpr auto MissingPrimaryPath = "/inner/v1/missing-primary";
 
 struct BeginLease {
   proxy::LeaseRequest Request;
--- a/src/proxy/failover_controller.cpp
+++ b/src/proxy/failover_controller.cpp
@@ -42,6 +42,7 @@
     noteHolderSeen();
   if (StoreQueried && !StoreReachedAt)
     StoreReachedAt = Time.now();
+  Targets.setWatchesAll(isLeader());
   if (!held && isLeader()) {
     restartSuspicions();
     NextNumber = record->First;
@@ -58,17 +59,26 @@
 
 void FailoverController::updateMembers(const std::vector<Member> &live) {
   Live = live;
+  TakeoverRank.reset();
 }
 
-/// \return this daemon's rank among those that may become leader.
-std::optional<std::size_t> FailoverController::takeoverRank() const {
+/// The leader answers reports of all daemons, so those with the widest links
+/// come first.
+std::optional<std::size_t> FailoverController::takeoverRank() {
+  if (TakeoverRank)
+    return *TakeoverRank;
+  TakeoverRank.emplace();
   auto ranked =
       rankOwners(Live, TargetName("failover duty"), DomainName(), RegionName());
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const Member &left, const Member &right) {
+                     return left.LinkMbps > right.LinkMbps;
+                   });
   auto it = std::find_if(ranked.begin(), ranked.end(),
                          [&](const Member &m) { return m.Vm == Self.Vm; });
-  if (it == ranked.end())
-    return std::nullopt;
-  return static_cast<std::size_t>(it - ranked.begin());
+  if (it != ranked.end())
+    *TakeoverRank = static_cast<std::size_t>(it - ranked.begin());
+  return *TakeoverRank;
 }
 
 void FailoverController::tickLeadership(TimePoint now) {
@@ -170,19 +180,62 @@
   tickLeadership(now);
   if (!isLeader())
     return;
-  for (auto &[name, group] : Targets.all())
-    tickGroup(name, *group, now);
+  tickGroups(now);
+}
+
+/// Groups that are neither in use nor without a primary have nothing to do.
+void FailoverController::tickGroups(TimePoint now) {
+  Unplanned = unplannedChanges();
+  SuspectedNow = 0;
+  // Queries may make further groups active.
+  auto active = Targets.active();
+  for (auto *it : active)
+    tickGroup(it->Name, *it, now);
+  for (auto it = Changes.begin(); it != Changes.end();) {
+    auto *group = Targets.find(it->first);
+    if (group && !group->IsActive && !group->Targets.empty())
+      tickGroup(it->first, *group, now);
+    bool isOver = it->second.CurrentStep == Step::Watching &&
+                  it->second.FailedTargets.empty() &&
+                  now >= it->second.NotBefore;
+    it = isOver || !group ? Changes.erase(it) : std::next(it);
+  }
+  requestTargets();
+}
+
+/// One list of all targets serves all groups suspected before it was begun.
+/// When a region is lost, hundreds are; with a list for each, every one would
+/// replace the one before it, and none would ever be complete.
+void FailoverController::requestTargets() {
+  if (ReadingTargets)
+    return;
+  for (auto &[name, it] : Changes)
+    if (it.TargetList == ListState::Wanted) {
+      it.TargetList = ListState::Reading;
+      ReadingTargets = true;
+    }
+  if (ReadingTargets)
+    Port.readTargets();
+}
+
+std::size_t FailoverController::unplannedChanges() const {
+  return static_cast<std::size_t>(
+      std::count_if(Changes.begin(), Changes.end(), [](const auto &it) {
+        return it.second.CurrentStep != Step::Watching && !it.second.Planned;
+      }));
 }
 
 void FailoverController::restartSuspicions() {
-  for (auto &[name, group] : Targets.all())
-    if (group->LeaderMissingSince)
-      group->LeaderMissingSince = Time.now();
+  for (auto *it : Targets.active())
+    if (it->LeaderMissingSince)
+      it->LeaderMissingSince = Time.now();
 }
 
 void FailoverController::tickGroup(const GroupName &name, Group &group,
                                    TimePoint now) {
-  if (group.Targets.empty())
+  bool isIdle = !group.LeaderMissingSince && !group.LeavingSince &&
+                !Changes.contains(name);
+  if (group.Targets.empty() || isIdle)
     return;
   auto &change = Changes[name];
   if (now < change.NotBefore)
@@ -223,9 +276,14 @@
     }
     return;
   }
-  if (!group.LeaderMissingSince ||
-      now - *group.LeaderMissingSince < limits::SuspectAfter)
+  auto limit = group.Absences.everPresent() ? limits::SuspectAfter
+                                            : limits::UnlistedPrimaryTimeout;
+  if (!group.LeaderMissingSince || now - *group.LeaderMissingSince < limit ||
+      Unplanned >= limits::MaxParallelChanges ||
+      SuspectedNow >= limits::MaxSuspectedPerTick)
     return;
+  ++Unplanned;
+  ++SuspectedNow;
   change.CurrentStep = Step::Confirming;
   change.Since = now;
   countChangePart(Metrics, ChangePart::Detection,
@@ -237,9 +295,8 @@
                   field("missing_ms", std::chrono::duration_cast<milliseconds>(
                                           now - *group.LeaderMissingSince)
                                           .count())});
-  change.TargetsRead = false;
+  change.TargetList = ListState::Wanted;
   change.Reports.reset();
-  Port.readTargets();
   Port.queryPeers(name);
 }
 
@@ -251,8 +308,10 @@
 }
 
 void FailoverController::handleTargetsRead() {
-  for (auto &[name, change] : Changes)
-    change.TargetsRead = true;
+  ReadingTargets = false;
+  for (auto &[name, it] : Changes)
+    if (it.TargetList == ListState::Reading)
+      it.TargetList = ListState::Read;
 }
 
 void FailoverController::confirmFailure(const GroupName &name, Group &group,
@@ -261,7 +320,7 @@
     change = {};
     return;
   }
-  bool all = change.Reports && change.TargetsRead;
+  bool all = change.Reports && change.TargetList == ListState::Read;
   if (!all && now - change.Since < limits::PeerReportTimeout)
     return;
   // Without an answer in time, this daemon's own view decides.
@@ -289,6 +348,7 @@
   change.CurrentStep = Step::Selecting;
   change.Since = now;
   change.Statuses.clear();
+  change.PrimaryAt.reset();
   change.Pending.clear();
   queryStatus(name, group, change);
 }
@@ -296,7 +356,9 @@
 void FailoverController::queryStatus(const GroupName &name, Group &group,
                                      Change &change) {
   for (const auto &it : group.Targets) {
-    if (!isCandidate(group, it) || change.Statuses.contains(it.Name) ||
+    bool isOldPrimary = change.Planned && it.Name == group.View.leader();
+    bool isWanted = isOldPrimary ? !change.PrimaryAt : isCandidate(group, it);
+    if (!isWanted || change.Statuses.contains(it.Name) ||
         !change.Pending.insert(it.Name).second)
       continue;
     Batch batch;
@@ -306,15 +368,20 @@
     LeaseRequest request{it.Name, 0, limits::StatusTimeout,
                          2 * limits::StatusTimeout};
     auto target = it.Name;
-    auto received = [this, name, target](const BatchResult &result) {
+    auto received = [this, name, target,
+                     isOldPrimary](const BatchResult &result) {
       auto found = Changes.find(name);
       if (found == Changes.end() ||
           found->second.CurrentStep != Step::Selecting)
         return;
       found->second.Pending.erase(target);
-      bool whole = result.End == BatchEnd::Complete && result.Answers[0].Status;
-      if (whole)
-        found->second.Statuses[target] = *result.Answers[0].Status;
+      if (result.End != BatchEnd::Complete || !result.Answers[0].Status)
+        return;
+      const auto &status = *result.Answers[0].Status;
+      if (!isOldPrimary)
+        found->second.Statuses[target] = status;
+      else if (status.IsPrimary)
+        found->second.PrimaryAt = status.Received;
     };
     Targets.begin(request, std::move(batch), received);
   }
@@ -363,7 +430,7 @@
     return;
   }
   std::uint64_t missingRecords = 0;
-  if (auto last = group.View.lastHead();
+  if (auto last = std::max(group.View.lastHead(), change.PrimaryAt);
       last && last->InTerm == bestStatus->Received.InTerm &&
       last->Index > bestStatus->Received.Index)
     missingRecords = last->Index - bestStatus->Received.Index;
--- a/src/proxy/failover_controller.h
+++ b/src/proxy/failover_controller.h
@@ -56,6 +56,16 @@
 inline constexpr unsigned MaxPromotionCalls = 3;
 /// After a failed promotion.
 inline constexpr milliseconds PromotionRetryPause{200};
+/// Failed primaries replaced at once. The platform takes 50 promotions a
+/// second, and a change takes about one; each asks MaxPeersQueried daemons.
+inline constexpr std::size_t MaxParallelChanges = 64;
+/// Of these, begun in one tick. The calls for hundreds of groups at once would
+/// keep a small VM from answering anything else for seconds.
+inline constexpr std::size_t MaxSuspectedPerTick = 2;
+/// The same as SuspectAfter for a group whose primary has not been listed since
+/// this daemon started: when a fleet starts, targets register one after the
+/// other. Longer than three of their heartbeats, after which an entry is gone.
+inline constexpr milliseconds UnlistedPrimaryTimeout{6'000};
 /// A failover leader that has been missing from the live members for this long
 /// may be replaced. The platform's documentation gives no minimum time between
 /// two leaders; this is longer than the pauses during which a live leader is
@@ -143,6 +153,8 @@
   void tick();
 
   bool isLeader() const;
+  /// \return the failover leader; empty if none is known.
+  VmName leader() const { return Record ? Record->Holder : VmName(); }
   /// Sets this daemon's incarnation; call only before it becomes leader.
   void raiseIncarnation(std::uint64_t incarnation) {
     Incarnation = incarnation;
@@ -156,14 +168,18 @@
     Promoting,
     Settling
   };
+  /// Of the list of targets that confirms a failure.
+  enum class ListState : std::uint8_t { None, Wanted, Reading, Read };
   struct Change {
     Step CurrentStep = Step::Watching;
     TimePoint Since{};
     TimePoint NotBefore{};
     bool Planned = false;
     std::optional<PeerReports> Reports;
-    bool TargetsRead = false;
+    ListState TargetList = ListState::None;
     std::map<TargetName, TargetStatus> Statuses;
+    /// Of a leaving primary. This daemon may not have used the group.
+    std::optional<Position> PrimaryAt;
     std::set<TargetName> Pending;
     std::set<TargetName> FailedTargets; ///< Targets whose promotion failed.
     TargetName Chosen;
@@ -179,7 +195,12 @@
   void handleMissingHolder(TimePoint now);
   void claimLeadership(TimePoint now);
   void reserveNumbers();
-  std::optional<std::size_t> takeoverRank() const;
+  /// \return this daemon's rank among those that may become leader; empty if it
+  /// may not.
+  std::optional<std::size_t> takeoverRank();
+  void tickGroups(TimePoint now);
+  void requestTargets();
+  std::size_t unplannedChanges() const;
   void tickGroup(const GroupName &name, Group &group, TimePoint now);
   void detectFailure(const GroupName &name, Group &group, Change &change,
                      TimePoint now);
@@ -204,12 +225,17 @@
   bool Writing = false;
   std::uint64_t NextNumber = 0;
   std::vector<Member> Live;
+  /// Of the present members, once it was computed.
+  std::optional<std::optional<std::size_t>> TakeoverRank;
   TimePoint HolderSeenAt{};
   bool StoreQueried = false; ///< Since the leader has been missing.
   std::optional<TimePoint> StoreReachedAt; ///< When the store answered that.
   TimePoint NextClaim{};
   TimePoint LastTick{};
   std::map<GroupName, Change> Changes;
+  bool ReadingTargets = false;
+  std::size_t Unplanned = 0;    ///< Failed primaries being replaced.
+  std::size_t SuspectedNow = 0; ///< In this tick.
 };
 
 } // namespace peridotfall::proxy
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -21,8 +21,9 @@
 /// destroyed.
 class PathUse {
 public:
-  PathUse(const std::shared_ptr<PathTable> &table, TargetName target, VmName by)
-      : SharedPaths(table), Target(std::move(target)), By(std::move(by)) {
+  PathUse(const std::shared_ptr<AccessTable> &table, TargetName target,
+          VmName by)
+      : Table(table), Target(std::move(target)), By(std::move(by)) {
     if (auto *it = paths())
       it->started(By);
   }
@@ -36,19 +37,19 @@
   void end(const BatchResult &result, TimePoint now) {
     if (auto *it = paths())
       it->ended(By, result.TargetUnreachable, result.Load, now);
-    SharedPaths.reset();
+    Table.reset();
   }
 
 private:
   HolderPaths *paths() {
-    auto table = SharedPaths.lock();
+    auto table = Table.lock();
     if (!table)
       return nullptr;
     auto it = table->find(Target);
-    return it == table->end() ? nullptr : &it->second;
+    return it == table->end() ? nullptr : &it->second.Paths;
   }
 
-  std::weak_ptr<PathTable> SharedPaths;
+  std::weak_ptr<AccessTable> Table;
   TargetName Target;
   VmName By;
 };
@@ -86,6 +87,23 @@
           {}};
 }
 
+bool isBefore(const TargetEntry &it, const TargetName &name) {
+  return it.Name < name;
+}
+
+/// \param list sorted by name.
+void putEntry(std::vector<TargetEntry> &list, const TargetEntry &entry) {
+  auto it = std::lower_bound(list.begin(), list.end(), entry.Name, isBefore);
+  if (it != list.end() && it->Name == entry.Name)
+    *it = entry;
+  else
+    list.insert(it, entry);
+}
+
+void removeEntry(std::vector<TargetEntry> &list, const TargetName &name) {
+  std::erase_if(list, [&](const TargetEntry &it) { return it.Name == name; });
+}
+
 } // namespace
 
 Groups::Groups(Locality self, TargetPort &port, RelayPort &relay,
@@ -103,119 +121,164 @@
   return it == ByName.end() ? nullptr : it->second.get();
 }
 
-TargetPool *Groups::pool(const TargetName &target) {
-  auto it = Pools.find(target);
-  return it == Pools.end() ? nullptr : it->second.get();
+Group &Groups::groupOf(const GroupName &name) {
+  auto &group = ByName[name];
+  if (!group)
+    group = std::make_unique<Group>(name, ++Seed);
+  return *group;
+}
+
+std::unique_ptr<TargetPool> Groups::makePool(const TargetEntry &target) {
+  auto out = std::make_unique<TargetPool>(target, Port, Time, LastLease);
+  out->OnWaited = [this](Duration waited) {
+    if (OnWaited)
+      OnWaited(waited);
+  };
+  out->OnRefused = [this](QueueRefusal why) {
+    if (OnRefused)
+      OnRefused(why);
+  };
+  return out;
+}
+
+TargetAccess *Groups::access(const TargetName &target) {
+  auto entry = Targets.find(target);
+  if (entry == Targets.end())
+    return nullptr;
+  auto &it = Accesses[target];
+  if (!it.Pool)
+    it.Pool = makePool(entry->second);
+  it.UsedAt = Time.now();
+  if (it.PlanVersion != PlanVersion)
+    assignConnections(entry->second, it);
+  return &it;
 }
 
 void Groups::updateTargets(const TargetList &targets) {
-  for (auto it = Pools.begin(); it != Pools.end();) {
-    auto now = targets.find(it->first);
-    bool gone = now == targets.end();
-    if (!gone && isSameProcess(it->second->target(), now->second)) {
-      it->second->update(now->second);
-      ++it;
+  TargetChanges changes;
+  for (const auto &[name, it] : Targets)
+    if (!targets.contains(name))
+      changes.Removed.push_back(name);
+  for (const auto &[name, it] : targets) {
+    auto known = Targets.find(name);
+    if (known == Targets.end() || known->second != it)
+      changes.Updated.push_back(it);
+  }
+  applyTargetChanges(changes);
+}
+
+void Groups::applyTargetChanges(const TargetChanges &changes) {
+  std::set<GroupName> touched;
+  for (const auto &name : changes.Removed) {
+    auto known = Targets.find(name);
+    if (known == Targets.end())
       continue;
-    }
-    telemetry::log(Event::TargetGone, {field("target", it->first.Value),
-                                       field("replaced", gone ? "no" : "yes")});
-    // If another process has replaced the target, its connections are invalid.
-    auto pool = std::move(it->second);
-    it = Pools.erase(it);
-    if (gone)
-      pool->retire();
-    else
-      pool->abortAll();
+    telemetry::log(Event::TargetGone,
+                   {field("target", name.Value), field("replaced", "no")});
+    removeEntry(groupOf(known->second.Group).Targets, name);
+    touched.insert(known->second.Group);
+    Targets.erase(known);
+    Ranks.forget(name);
+    auto it = Accesses.find(name);
+    if (it == Accesses.end())
+      continue;
+    auto pool = std::move(it->second.Pool);
+    Accesses.erase(it);
+    pool->retire();
     Retired.push_back(std::move(pool));
   }
-  std::map<GroupName, std::vector<TargetEntry>> byGroup;
-  for (const auto &[name, it] : targets) {
-    if (!Pools.contains(name)) {
-      auto &pool = Pools[name];
-      pool = std::make_unique<TargetPool>(it, Port, Time, LastLease);
-      pool->OnWaited = [this](Duration waited) {
-        if (OnWaited)
-          OnWaited(waited);
-      };
-      pool->OnRefused = [this](QueueRefusal why) {
-        if (OnRefused)
-          OnRefused(why);
-      };
-      telemetry::log(Event::TargetFound, {field("target", name.Value),
-                                          field("group", it.Group.Value),
-                                          field("address", it.Address),
-                                          field("primary", it.ClaimsPrimary)});
-    }
-    byGroup[it.Group].push_back(it);
+  for (const auto &entry : changes.Updated)
+    touched.merge(updateTarget(entry));
+  for (const auto &name : touched)
+    updateGroup(groupOf(name));
+}
+
+std::set<GroupName> Groups::updateTarget(const TargetEntry &entry) {
+  std::set<GroupName> touched{entry.Group};
+  auto known = Targets.find(entry.Name);
+  bool isNew = known == Targets.end();
+  bool isReplaced = !isNew && !isSameProcess(known->second, entry);
+  if (!isNew && known->second.Group != entry.Group) {
+    removeEntry(groupOf(known->second.Group).Targets, entry.Name);
+    touched.insert(known->second.Group);
   }
-  Targets = targets;
-  Ranks.retain(targets);
-  for (auto &[name, group] : ByName)
-    byGroup[name];
-  for (auto &[name, entries] : byGroup) {
-    auto &group = ByName[name];
-    if (!group)
-      group = std::make_unique<Group>(++Seed);
-    auto before = group->View.leader();
-    group->View.updateEntries(entries);
-    group->Targets = std::move(entries);
-    auto after = group->View.leader();
-    if (before != after)
-      telemetry::log(Event::PrimaryChanged,
-                     {field("group", name.Value),
-                      field("target", after ? after->Value : "none"),
-                      field("by", "list of targets")});
-    if (after && before != after && OnLeaderKnown)
-      OnLeaderKnown(name);
+  Targets[entry.Name] = entry;
+  putEntry(groupOf(entry.Group).Targets, entry);
+  if (isReplaced)
+    telemetry::log(Event::TargetGone, {field("target", entry.Name.Value),
+                                       field("replaced", "yes")});
+  if (isNew || isReplaced)
+    telemetry::log(Event::TargetFound, {field("target", entry.Name.Value),
+                                        field("group", entry.Group.Value),
+                                        field("address", entry.Address),
+                                        field("primary", entry.ClaimsPrimary)});
+  auto it = Accesses.find(entry.Name);
+  if (it == Accesses.end())
+    return touched;
+  it->second.PlanVersion = 0;
+  if (!isReplaced) {
+    it->second.Pool->update(entry);
+    return touched;
   }
-  assignConnections();
+  // The connections of the process that was replaced are invalid.
+  auto pool = std::exchange(it->second.Pool, makePool(entry));
+  pool->abortAll();
+  Retired.push_back(std::move(pool));
+  return touched;
+}
+
+void Groups::updateGroup(Group &group) {
+  auto before = group.View.leader();
+  group.View.updateEntries(group.Targets);
+  auto after = group.View.leader();
+  if (before != after)
+    telemetry::log(Event::PrimaryChanged,
+                   {field("group", group.Name.Value),
+                    field("target", after ? after->Value : "none"),
+                    field("by", "list of targets")});
+  notePrimaryState(group, Time.now());
+  if (after && before != after && OnLeaderKnown)
+    OnLeaderKnown(group.Name);
 }
 
 void Groups::applySettings(const std::map<GroupName, GroupSettings> &settings,
                            bool byAccount) {
-  ByAccount = byAccount;
+  bool changed = std::exchange(ByAccount, byAccount) != byAccount;
   for (const auto &[name, it] : settings) {
-    auto &group = ByName[name];
-    if (!group)
-      group = std::make_unique<Group>(++Seed);
-    group->Settings = it;
+    auto &group = groupOf(name);
+    changed = changed || group.Settings != it;
+    group.Settings = it;
   }
-  assignConnections();
+  PlanVersion += changed;
 }
 
 void Groups::setMembers(const std::vector<Member> &live) {
-  Ranks.setMembers(live);
-  assignConnections();
+  PlanVersion += Ranks.setMembers(live);
 }
 
 /// There may be more daemons than a target accepts connections. The daemons
 /// that rank first for a target, those of its failure domain before others,
 /// hold its connections; all others reach it through them.
-void Groups::assignConnections() {
-  std::erase_if(PathsByTarget,
-                [&](const auto &it) { return !Pools.contains(it.first); });
-  for (auto &[name, pool] : Pools) {
-    const auto &target = pool->target();
-    auto *group = find(target.Group);
-    if (!group)
-      continue;
-    auto plan = planHolders(
-        group->Settings.MaxConnections, target.Slots, Ranks.eligible(),
-        ByAccount ? limits::PlannedShareByAccount : limits::PlannedShare);
-    auto holders = Ranks.first(target, plan.Holders);
-    bool holds =
-        std::find(holders.begin(), holders.end(), Self.Vm) != holders.end();
-    pool->setCapacity(holds ? plan.Connections : 0, plan.Running);
-    auto &paths = PathsByTarget[name];
-    if (paths.holders() != holders)
-      paths.setHolders(holders);
-  }
+void Groups::assignConnections(const TargetEntry &target, TargetAccess &it) {
+  it.PlanVersion = PlanVersion;
+  auto *group = find(target.Group);
+  if (!group)
+    return;
+  auto plan = planHolders(
+      group->Settings.MaxConnections, target.Slots, Ranks.eligible(),
+      ByAccount ? limits::PlannedShareByAccount : limits::PlannedShare);
+  auto holders = Ranks.first(target, plan.Holders);
+  bool holds =
+      std::find(holders.begin(), holders.end(), Self.Vm) != holders.end();
+  it.Pool->setCapacity(holds ? plan.Connections : 0, plan.Running);
+  if (it.Paths.holders() != holders)
+    it.Paths.setHolders(holders);
 }
 
 TargetPool *Groups::poolOf(LeaseId lease) {
-  for (auto &[name, it] : Pools)
-    if (it->owns(lease))
-      return it.get();
+  for (auto &[name, it] : Accesses)
+    if (it.Pool->owns(lease))
+      return it.Pool.get();
   for (auto &it : Retired)
     if (it->owns(lease))
       return it.get();
@@ -224,14 +287,13 @@
 
 VmName Groups::choosePath(const TargetName &target,
                           const AccountName &account) {
-  auto paths = PathsByTarget.find(target);
-  auto *here = pool(target);
-  if (paths == PathsByTarget.end() || !here)
+  auto *it = access(target);
+  if (!it)
     return Self.Vm;
   auto path = account.empty()
-                  ? paths->second.choose(Self.Vm, here->isFree(account))
-                  : paths->second.chooseFor(account, Self.Vm,
-                                            here->hasIdle(account), Time.now());
+                  ? it->Paths.choose(Self.Vm, it->Pool->isFree(account))
+                  : it->Paths.chooseFor(account, Self.Vm,
+                                        it->Pool->hasIdle(account), Time.now());
   return path.value_or(Self.Vm);
 }
 
@@ -243,13 +305,13 @@
 LeaseId Groups::beginVia(const VmName &by, const LeaseRequest &request,
                          Batch first, OnBatch done) {
   auto target = request.Target;
-  auto use = std::make_shared<PathUse>(SharedPaths, target, by);
+  auto use = std::make_shared<PathUse>(SharedAccesses, target, by);
   auto recordEnd = [this, use, done](BatchResult result) {
     use->end(result, Time.now());
     if (done)
       done(std::move(result));
   };
-  if (by == Self.Vm && pool(target))
+  if (by == Self.Vm && Targets.contains(target))
     return beginHere(request, std::move(first), recordEnd);
   LeaseId lease{++LastLease};
   if (by == Self.Vm)
@@ -261,10 +323,10 @@
 
 LeaseId Groups::beginHere(const LeaseRequest &request, Batch first,
                           OnBatch done) {
-  auto *it = pool(request.Target);
+  auto *it = access(request.Target);
   if (!it)
     return {};
-  return it->begin(request, std::move(first), std::move(done));
+  return it->Pool->begin(request, std::move(first), std::move(done));
 }
 
 void Groups::run(LeaseId lease, Batch next, OnBatch done) {
@@ -297,10 +359,10 @@
 
 std::optional<TimePoint>
 Groups::unreachableSince(const TargetName &target) const {
-  auto it = PathsByTarget.find(target);
-  if (it == PathsByTarget.end())
+  auto it = Accesses.find(target);
+  if (it == Accesses.end())
     return std::nullopt;
-  return it->second.unreachableSince();
+  return it->second.Paths.unreachableSince();
 }
 
 const TargetEntry *Groups::entry(const TargetName &target) const {
@@ -386,15 +448,15 @@
   auto after = group.View.leader();
   if (before == after)
     return;
-  auto name = group.Targets.empty() ? GroupName() : group.Targets[0].Group;
   telemetry::log(Event::PrimaryChanged,
-                 {field("group", name.Value),
+                 {field("group", group.Name.Value),
                   field("target", after ? after->Value : "none"),
                   field("term", group.View.term()), field("by", "answer"),
                   field("from", target.Value)});
   group.NextLeaderQuery = Time.now();
+  notePrimaryState(group, Time.now());
   if (after && OnLeaderKnown)
-    OnLeaderKnown(name);
+    OnLeaderKnown(group.Name);
 }
 
 void Groups::queryLeader(const TargetName &target) {
@@ -416,6 +478,25 @@
   beginVia(by, queryRequest(target), batch, learned);
 }
 
+void Groups::checkPrimary(Group &group, milliseconds limit,
+                          std::function<void(bool)> done) {
+  auto primary = usablePrimary(group);
+  if (!primary) {
+    done(false);
+    return;
+  }
+  auto batch = queryBatch(StatementKind::Begin);
+  batch.Timeout = limit;
+  auto learned = [this, name = group.Name, target = *primary, batch,
+                  done = std::move(done),
+                  sent = Time.now()](const BatchResult &out) {
+    if (auto *found = find(name))
+      handleAnswers(*found, target, batch, out, true, sent);
+    done(!out.Answers.empty() && out.Answers[0].ok());
+  };
+  begin({*primary, 0, limit, limit, {}}, batch, std::move(learned));
+}
+
 void Groups::queryApplied(Group &group, TimePoint now) {
   group.NextAppliedQuery = now + limits::AppliedQueryPause;
   for (const auto &it : group.Targets) {
@@ -434,24 +515,89 @@
   }
 }
 
+bool Groups::isUsed(const Group &group, TimePoint now) {
+  return group.UsedAt && now - *group.UsedAt < limits::GroupIdle;
+}
+
+/// Where a path to the primary has failed, the queries show whether others
+/// work.
+bool Groups::isHeadWanted(const Group &group, TimePoint now) const {
+  if (!isUsed(group, now))
+    return false;
+  auto it = group.View.leader() ? Accesses.find(*group.View.leader())
+                                : Accesses.end();
+  bool hasFailedPath = it != Accesses.end() && it->second.Paths.hasFailedPath();
+  return hasFailedPath || *group.UsedAt - group.UsedSince >= limits::SteadyUse;
+}
+
 Group *Groups::markUsed(const GroupName &name) {
   auto *group = find(name);
   if (!group)
     return nullptr;
   auto now = Time.now();
+  if (!isUsed(*group, now))
+    group->UsedSince = now;
   group->UsedAt = now;
+  if (!group->IsActive) {
+    activate(*group);
+    notePrimaryState(*group, now);
+  }
   return group;
 }
 
-/// A failed path gets no work; leader queries detect when it works again.
-void Groups::probeFailedPaths() {
+void Groups::activate(Group &group) {
+  if (std::exchange(group.IsActive, true))
+    return;
+  Active.push_back(&group);
+}
+
+bool Groups::needsAttention(const Group &group, TimePoint now) const {
+  bool isWatched = WatchesAll && !group.Targets.empty() &&
+                   (group.LeaderMissingSince || group.LeavingSince);
+  return isWatched || isUsed(group, now);
+}
+
+/// Suspicions start now: what this daemon noted of groups that it did not use
+/// may be old.
+void Groups::setWatchesAll(bool watches) {
+  if (std::exchange(WatchesAll, watches) == watches || !watches)
+    return;
+  for (auto &[name, group] : ByName) {
+    group->LeaderMissingSince.reset();
+    notePrimaryState(*group, Time.now());
+  }
+}
+
+void Groups::handleMissingReport(const GroupName &name) {
+  auto *group = WatchesAll ? markUsed(name) : nullptr;
   auto now = Time.now();
-  for (auto &[target, paths] : PathsByTarget)
-    for (const auto &by : paths.probesDue(now))
+  if (!group || now < group->NextMissingReport || !group->View.leader())
+    return;
+  group->NextMissingReport = now + limits::MaxHeadAge;
+  auto primary = *group->View.leader();
+  auto *it = access(primary);
+  if (!it)
+    return;
+  auto holders = it->Paths.holders();
+  for (const auto &by : holders)
+    queryLeaderVia(by, primary);
+}
+
+/// A failed path gets no work; leader queries detect when it works again. Where
+/// all paths to a target of a group that is not in use have failed, tickGroup()
+/// queries one of them.
+void Groups::probeFailedPaths(TimePoint now) {
+  for (auto &[target, it] : Accesses) {
+    const auto *known = entry(target);
+    const auto *group = known ? find(known->Group) : nullptr;
+    if (!group || !isUsed(*group, now))
+      continue;
+    for (const auto &by : it.Paths.probesDue(now))
       queryLeaderVia(by, target);
+  }
 }
 
-void Groups::tickGroup(Group &group, TimePoint now) {
+void Groups::notePrimaryState(Group &group, TimePoint now) {
   auto leader = group.View.leader();
   const auto *it = leader ? entry(*leader) : nullptr;
   bool missing = !it || unreachableSince(*leader);
@@ -465,27 +611,70 @@
   else if (!group.LeavingSince)
     group.LeavingSince = now;
   notePrimary(group);
-  bool used = group.UsedAt && now - *group.UsedAt < limits::GroupIdle;
+  if (needsAttention(group, now))
+    activate(group);
+}
+
+void Groups::reportIfMissing(Group &group, TimePoint now) {
+  bool isDue = !WatchesAll && group.LeaderMissingSince &&
+               now - *group.LeaderMissingSince >= limits::MissingReportDelay &&
+               now >= group.NextMissingReport;
+  if (!isDue)
+    return;
+  group.NextMissingReport = now + limits::MissingReportPause;
+  if (OnPrimaryMissing)
+    OnPrimaryMissing(group.Name);
+}
+
+/// \return whether the group's targets were queried although it is not in use.
+bool Groups::tickGroup(Group &group, TimePoint now, bool mayQueryUnused) {
+  notePrimaryState(group, now);
+  bool used = isUsed(group, now);
+  if (used)
+    reportIfMissing(group, now);
   if (used && now >= group.NextAppliedQuery)
     queryApplied(group, now);
-  if (now < group.NextLeaderQuery)
-    return;
+  if (now < group.NextLeaderQuery || (!used && !mayQueryUnused))
+    return false;
   auto proof = group.View.lastConfirmed();
-  if (missing || leaving) {
+  if (group.LeaderMissingSince || group.LeavingSince) {
     group.NextLeaderQuery = now + limits::LeaderQueryPause;
     for (const auto &target : group.Targets)
-      if (!unreachableSince(target.Name))
+      if (!used || !unreachableSince(target.Name))
         queryLeader(target.Name);
-  } else if (used && (!proof || now - *proof > limits::MaxHeadAge)) {
+    return !used;
+  }
+  if (isHeadWanted(group, now) &&
+      (!proof || now - *proof > limits::MaxHeadAge)) {
     group.NextLeaderQuery = now + limits::MaxHeadAge / 2;
-    queryLeader(*leader);
+    queryLeader(*group.View.leader());
+  }
+  return false;
+}
+
+/// Groups that are not in use take turns, from tick to tick.
+void Groups::tickActive(TimePoint now) {
+  std::size_t budget = limits::MaxWatchedPerTick;
+  auto first = NextWatched;
+  // Groups that become active meanwhile are added at the end.
+  auto count = Active.size();
+  for (std::size_t n = 0; n < count; ++n) {
+    auto at = (first + n) % count;
+    if (!tickGroup(*Active[at], now, budget > 0))
+      continue;
+    --budget;
+    NextWatched = at + 1;
   }
+  std::erase_if(Active, [&](Group *it) {
+    it->IsActive = needsAttention(*it, now);
+    return !it->IsActive;
+  });
 }
 
 PoolStats Groups::poolStats() const {
   PoolStats out;
-  for (const auto &[name, it] : Pools) {
-    auto stats = it->stats();
+  for (const auto &[name, it] : Accesses) {
+    auto stats = it.Pool->stats();
     out.Open += stats.Open;
     out.Opening += stats.Opening;
     out.Idle += stats.Idle;
@@ -503,14 +692,25 @@
     if (it)
       it(std::move(failed));
   }
-  for (auto &[name, it] : Pools)
-    it->tick();
+  tickAccesses(now);
   for (auto &it : Retired)
     it->tick();
   std::erase_if(Retired, [](const auto &it) { return it->isUnused(); });
-  probeFailedPaths();
-  for (auto &[name, group] : ByName)
-    tickGroup(*group, now);
+  probeFailedPaths(now);
+  tickActive(now);
+}
+
+void Groups::tickAccesses(TimePoint now) {
+  for (auto &[target, it] : Accesses) {
+    const auto *known = entry(target);
+    if (known && it.PlanVersion != PlanVersion)
+      assignConnections(*known, it);
+    it.Pool->tick();
+  }
+  std::erase_if(Accesses, [now](const auto &it) {
+    return it.second.Pool->isUnused() &&
+           now - it.second.UsedAt > limits::TargetIdle;
+  });
 }
 
 } // namespace peridotfall::proxy
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -1,6 +1,8 @@
 /// \file
 /// The groups of targets as one daemon sees them: connections, primaries and
-/// where reads can be sent.
+/// where reads can be sent. A daemon of a large fleet uses few of its groups at
+/// a time. Work that is repeated, and queries of targets, are for these only;
+/// for all others the platform's list is kept and nothing else.
 
 #ifndef PERIDOTFALL_PROXY_GROUPS_H
 #define PERIDOTFALL_PROXY_GROUPS_H
@@ -34,6 +36,24 @@
 inline constexpr milliseconds AppliedQueryPause{250};
 /// A group without requests for this long is not in use.
 inline constexpr milliseconds GroupIdle{5'000};
+/// The log head is queried only once a group has been in use for this long: in
+/// a large fleet most uses of a group by a daemon are single ones, and each
+/// would be followed by ten queries that serve nobody.
+inline constexpr milliseconds SteadyUse = MaxHeadAge;
+/// The paths to a target that was not used for this long are forgotten.
+inline constexpr milliseconds TargetIdle{15'000};
+/// Groups that the failover leader queries in one tick only because their
+/// primary is missing. With ticks of 20 ms, 50 in a second, which is also the
+/// rate at which the platform changes primaries. Without the limit, the loss of
+/// a region would have it query the targets of a third of all groups ten times
+/// a second.
+inline constexpr std::size_t MaxWatchedPerTick = 1;
+/// A daemon reports a missing primary to the failover leader this long after it
+/// found it missing; one that answers late is not reported.
+inline constexpr milliseconds MissingReportDelay{100};
+/// Between two reports; below GroupIdle, for which the leader then counts the
+/// group as used.
+inline constexpr milliseconds MissingReportPause{2'500};
 /// Of one query; far above a round trip of 16 ms.
 inline constexpr milliseconds LeaderCheckTimeout{300};
 /// Longest time that writes are held during a planned hand-over, until a new
@@ -69,19 +89,37 @@
   virtual bool owns(LeaseId lease) const = 0;
 };
 
-/// For each target, the connection holders through which it is reached.
-using PathTable = std::map<TargetName, HolderPaths>;
+/// How a target in use is reached: the daemons that hold connections to it, and
+/// this daemon's own connections.
+struct TargetAccess {
+  HolderPaths Paths;
+  std::unique_ptr<TargetPool> Pool;
+  std::uint64_t PlanVersion = 0; ///< Of the plan in Paths and Pool.
+  TimePoint UsedAt{};
+};
+using AccessTable = std::map<TargetName, TargetAccess>;
+
+/// Changes of the platform's list of targets.
+struct TargetChanges {
+  std::vector<TargetEntry> Updated; ///< New ones included.
+  std::vector<TargetName> Removed;
+};
 
 struct Group {
-  explicit Group(std::uint64_t seed) : ReadPlacement(seed) {}
+  Group(GroupName name, std::uint64_t seed)
+      : Name(std::move(name)), ReadPlacement(seed) {}
 
+  GroupName Name;
   GroupSettings Settings;
   GroupView View;
   Placement ReadPlacement;
   std::vector<TargetEntry> Targets;
   std::optional<TimePoint> UsedAt;
+  TimePoint UsedSince{}; ///< Begin of the uses without a gap of GroupIdle.
+  bool IsActive = false; ///< tick() works on it.
   TimePoint NextLeaderQuery{};
   TimePoint NextAppliedQuery{};
+  TimePoint NextMissingReport{};
   /// When the primary became unknown or unreachable.
   std::optional<TimePoint> LeaderMissingSince;
   /// When the primary was first seen as leaving.
@@ -99,6 +137,9 @@
 
   /// \param targets the platform's complete list.
   void updateTargets(const TargetList &targets);
+  /// The same for changes of the list. Takes time for these and their groups
+  /// only.
+  void applyTargetChanges(const TargetChanges &changes);
   /// \param byAccount whether each connection serves one client account.
   void applySettings(const std::map<GroupName, GroupSettings> &settings,
                      bool byAccount = false);
@@ -106,6 +147,9 @@
   void setLeavingLimit(milliseconds limit) { LeavingLimit = limit; }
   /// \param live daemons among which the targets' connections are divided.
   void setMembers(const std::vector<Member> &live);
+  /// \param watches whether this daemon looks after the groups that it does not
+  /// use: the failover leader does.
+  void setWatchesAll(bool watches);
 
   LeaseId begin(const LeaseRequest &request, Batch first,
                 OnBatch done) override;
@@ -117,11 +161,19 @@
   /// \return whether this daemon holds the lease and no batch is in progress.
   bool isHeldHere(LeaseId lease);
 
-  TargetPool *pool(const TargetName &target);
   Group *find(const GroupName &name);
-  std::map<GroupName, std::unique_ptr<Group>> &all() { return ByName; }
+  /// \return the groups in use; if this daemon watches all, also those whose
+  /// primary is missing or leaving.
+  const std::vector<Group *> &active() const { return Active; }
   /// Marks a group as used, so that tick() keeps its log head fresh.
   Group *markUsed(const GroupName &name);
+  /// Asks the group's primary whether it leads.
+  /// \param done told whether it does; also called if no primary is known.
+  void checkPrimary(Group &group, milliseconds limit,
+                    std::function<void(bool)> done);
+  /// Another daemon reports that the group's primary is missing there. If this
+  /// daemon watches all, it queries the primary by all paths.
+  void handleMissingReport(const GroupName &name);
   /// \return the primary that accepts new work now; empty if writes must wait.
   std::optional<TargetName> writablePrimary(const Group &group) const;
   /// \return the primary to which a statement can be sent now.
@@ -145,6 +197,9 @@
   std::function<void(QueueRefusal)> OnRefused;
   /// Called when a group's leader becomes known.
   std::function<void(const GroupName &)> OnLeaderKnown;
+  /// Called when the primary of a group in use is missing, every
+  /// MissingReportPause.
+  std::function<void(const GroupName &)> OnPrimaryMissing;
   void tick();
   /// \return the sums over all targets; of MostByAccount the maximum.
   PoolStats poolStats() const;
@@ -152,14 +207,32 @@
   /// Runs \p action on the pools that may hold the target's connections.
   template <class Action>
   void withPools(const TargetName &target, Action action) {
-    if (auto *it = pool(target))
-      action(*it);
+    if (auto it = Accesses.find(target); it != Accesses.end())
+      action(*it->second.Pool);
     for (auto &it : Retired)
       if (it->target().Name == target)
         action(*it);
   }
 
 private:
+  std::unique_ptr<TargetPool> makePool(const TargetEntry &target);
+  /// \return the access to a known target, according to the current plan.
+  TargetAccess *access(const TargetName &target);
+  /// Plans which daemons hold the target's connections.
+  void assignConnections(const TargetEntry &target, TargetAccess &it);
+  void tickAccesses(TimePoint now);
+  Group &groupOf(const GroupName &name);
+  /// \return the groups whose targets have changed.
+  std::set<GroupName> updateTarget(const TargetEntry &entry);
+  void updateGroup(Group &group);
+  void activate(Group &group);
+  /// Updates what is known of the primary, without a query.
+  void notePrimaryState(Group &group, TimePoint now);
+  bool needsAttention(const Group &group, TimePoint now) const;
+  static bool isUsed(const Group &group, TimePoint now);
+  /// \return whether the group's log head is to be kept fresh by queries.
+  bool isHeadWanted(const Group &group, TimePoint now) const;
+  void reportIfMissing(Group &group, TimePoint now);
   /// \return the connection holder to use for the target now.
   VmName choosePath(const TargetName &target, const AccountName &account);
   LeaseId beginVia(const VmName &by, const LeaseRequest &request, Batch first,
@@ -172,9 +245,9 @@
   /// Queries the applied positions of replicas that are known to lag.
   void queryApplied(Group &group, TimePoint now);
   void queryLeaderVia(const VmName &by, const TargetName &target);
-  void tickGroup(Group &group, TimePoint now);
-  void probeFailedPaths();
-  void assignConnections();
+  bool tickGroup(Group &group, TimePoint now, bool mayQueryUnused);
+  void tickActive(TimePoint now);
+  void probeFailedPaths(TimePoint now);
   Distance distanceTo(const TargetEntry &target) const;
   TargetPool *poolOf(LeaseId lease);
 
@@ -189,13 +262,18 @@
   std::vector<OnBatch> UnservedBatches;
   std::uint64_t Seed = 1;
   TargetList Targets;
-  std::map<TargetName, std::unique_ptr<TargetPool>> Pools;
   /// Shared with leases in progress, which may outlive this object.
-  std::shared_ptr<PathTable> SharedPaths = std::make_shared<PathTable>();
-  PathTable &PathsByTarget = *SharedPaths;
+  std::shared_ptr<AccessTable> SharedAccesses = std::make_shared<AccessTable>();
+  /// Of the targets in use.
+  AccessTable &Accesses = *SharedAccesses;
+  /// Changes with the members and with the settings of a group.
+  std::uint64_t PlanVersion = 1;
+  bool WatchesAll = false;
+  std::size_t NextWatched = 0; ///< Index in Active.
   /// Pools of removed targets, until their last lease has ended.
   std::vector<std::unique_ptr<TargetPool>> Retired;
   std::map<GroupName, std::unique_ptr<Group>> ByName;
+  std::vector<Group *> Active;
 };
 
 } // namespace peridotfall::proxy
--- a/src/proxy/holder_paths.cpp
+++ b/src/proxy/holder_paths.cpp
@@ -126,6 +126,12 @@
   return out;
 }
 
+bool HolderPaths::hasFailedPath() const {
+  return std::any_of(States.begin(), States.end(), [](const auto &it) {
+    return it.second.FailingSince.has_value();
+  });
+}
+
 std::optional<TimePoint> HolderPaths::unreachableSince() const {
   std::optional<TimePoint> out;
   for (const auto &[name, it] : States) {
--- a/src/proxy/holder_paths.h
+++ b/src/proxy/holder_paths.h
@@ -108,6 +108,7 @@
   /// \return the failed paths that are due for a probe, and schedules their
   /// next one.
   std::vector<VmName> probesDue(TimePoint now);
+  bool hasFailedPath() const;
   /// \return since when all paths have failed; nothing if one is healthy.
   std::optional<TimePoint> unreachableSince() const;
 
--- a/src/proxy/holder_ranks.cpp
+++ b/src/proxy/holder_ranks.cpp
@@ -11,57 +11,95 @@
   return a.Domain == b.Domain && a.Region == b.Region;
 }
 
-bool contains(const std::vector<OwnerRank> &ranks, const VmName &vm) {
-  return std::any_of(ranks.begin(), ranks.end(),
-                     [&](const OwnerRank &it) { return it.Vm == vm; });
+int distanceOf(const Member &it, const DomainName &domain,
+               const RegionName &region) {
+  if (it.Domain == domain)
+    return 0;
+  return it.Region == region ? 1 : 2;
 }
 
 } // namespace
 
-void HolderRanks::setMembers(const std::vector<Member> &live) {
-  std::map<VmName, Member> next;
-  std::vector<const Member *> joined;
-  for (const auto &it : live) {
-    if (it.Leaving || it.ServesTarget)
-      continue;
-    next.emplace(it.Vm, it);
-    auto before = Eligible.find(it.Vm);
-    if (before == Eligible.end() || !hasSamePlace(before->second, it))
-      joined.push_back(&it);
-  }
+bool HolderRanks::setMembers(const std::vector<Member> &live) {
+  auto before = changes();
+  std::vector<const Member *> next;
+  next.reserve(live.size());
+  for (const auto &it : live)
+    if (!it.Leaving && !it.ServesTarget)
+      next.push_back(&it);
+  auto byName = [](const Member *a, const Member *b) { return a->Vm < b->Vm; };
+  if (!std::is_sorted(next.begin(), next.end(), byName))
+    std::sort(next.begin(), next.end(), byName);
   std::vector<VmName> left;
-  for (const auto &[vm, it] : Eligible) {
-    auto now = next.find(vm);
-    if (now == next.end() || !hasSamePlace(now->second, it))
-      left.push_back(vm);
+  std::vector<const Member *> joined;
+  auto known = Eligible.begin();
+  for (const auto *it : next) {
+    while (known != Eligible.end() && known->first < it->Vm)
+      left.push_back((known++)->first);
+    bool isKnown = known != Eligible.end() && known->first == it->Vm;
+    if (isKnown && !hasSamePlace(known->second, *it))
+      left.push_back(it->Vm);
+    if (!isKnown || !hasSamePlace(known->second, *it))
+      joined.push_back(it);
+    if (isKnown)
+      ++known;
   }
-  Eligible = std::move(next);
-  for (auto &entry : Rankings) {
-    auto &ranking = entry.second;
-    if (std::any_of(left.begin(), left.end(), [&](const VmName &vm) {
-          return contains(ranking.First, vm);
-        }))
-      ranking.Stale = true;
-    if (ranking.Stale)
-      continue;
-    for (const auto *it : joined)
-      insert(*it, entry.first, ranking);
+  for (; known != Eligible.end(); ++known)
+    left.push_back(known->first);
+  for (const auto &it : left)
+    recordLeft(it);
+  for (const auto *it : joined)
+    recordJoined(*it);
+  // With more changes than daemons, ranking anew takes less.
+  while (Changes.size() > Eligible.size()) {
+    Changes.pop_front();
+    ++FirstChange;
   }
+  return changes() != before;
 }
 
-std::optional<OwnerRank> HolderRanks::rankOf(const Member &member,
-                                             const TargetName &target,
-                                             const Ranking &ranking) {
-  ++Computed;
-  return ownerRank(member, target, ranking.Domain, ranking.Region);
+void HolderRanks::recordLeft(const VmName &vm) {
+  auto it = Eligible.find(vm);
+  auto domain = ByDomain.find(it->second.Domain);
+  domain->second.erase(vm);
+  if (domain->second.empty())
+    ByDomain.erase(domain);
+  Eligible.erase(it);
+  Changes.push_back({vm, std::nullopt});
+}
+
+void HolderRanks::recordJoined(const Member &member) {
+  Eligible.emplace(member.Vm, member);
+  ByDomain[member.Domain].insert(member.Vm);
+  Changes.push_back({member.Vm, member});
+}
+
+bool HolderRanks::applyChanges(const TargetName &target, Ranking &ranking) {
+  if (ranking.UpTo < FirstChange)
+    return false;
+  for (auto n = ranking.UpTo - FirstChange; n < Changes.size(); ++n) {
+    const auto &it = Changes[n];
+    if (it.Joined)
+      insert(*it.Joined, target, ranking);
+    else if (std::any_of(
+                 ranking.First.begin(), ranking.First.end(),
+                 [&](const OwnerRank &rank) { return rank.Vm == it.Vm; }))
+      return false;
+  }
+  ranking.UpTo = changes();
+  return true;
 }
 
 void HolderRanks::insert(const Member &member, const TargetName &target,
                          Ranking &ranking) {
-  auto rank = rankOf(member, target, ranking);
   auto &first = ranking.First;
   bool full = first.size() >= ranking.Wanted;
-  if (!rank || (full && (first.empty() || first.back() < *rank)))
+  auto distance = distanceOf(member, ranking.Domain, ranking.Region);
+  if (full && (first.empty() || first.back().Distance < distance))
+    return;
+  ++Computed;
+  auto rank = ownerRank(member, target, ranking.Domain, ranking.Region);
+  if (!rank || (full && first.back() < *rank))
     return;
   first.insert(std::upper_bound(first.begin(), first.end(), *rank),
                std::move(*rank));
@@ -71,7 +109,13 @@
 
 void HolderRanks::rankAll(const TargetName &target, Ranking &ranking) {
   ranking.First.clear();
-  ranking.Stale = false;
+  ranking.UpTo = changes();
+  auto near = ByDomain.find(ranking.Domain);
+  if (near != ByDomain.end() && near->second.size() >= ranking.Wanted) {
+    for (const auto &vm : near->second)
+      insert(Eligible.at(vm), target, ranking);
+    return;
+  }
   for (const auto &[vm, it] : Eligible)
     insert(it, target, ranking);
 }
@@ -79,8 +123,9 @@
 std::vector<VmName> HolderRanks::first(const TargetEntry &target,
                                        std::size_t count) {
   auto &ranking = Rankings[target.Name];
-  if (ranking.Stale || ranking.Wanted != count ||
-      ranking.Domain != target.Domain || ranking.Region != target.Region) {
+  bool isSame = ranking.Wanted == count && ranking.Domain == target.Domain &&
+                ranking.Region == target.Region;
+  if (!isSame || !applyChanges(target.Name, ranking)) {
     ranking.Domain = target.Domain;
     ranking.Region = target.Region;
     ranking.Wanted = count;
@@ -92,9 +137,4 @@
   return out;
 }
 
-void HolderRanks::retain(const TargetList &targets) {
-  std::erase_if(Rankings,
-                [&](const auto &it) { return !targets.contains(it.first); });
-}
-
 } // namespace peridotfall::proxy
--- a/src/proxy/holder_ranks.h
+++ b/src/proxy/holder_ranks.h
@@ -1,8 +1,9 @@
 /// \file
 /// The daemons that rank first for each target, kept up to date as members come
-/// and go. When hundreds of daemons restart one after the other, each change
-/// reaches every daemon; ranking all members for all targets each time would
-/// take longer than the interval between changes. Pure decisions.
+/// and go. A daemon uses few of a fleet's targets at a time, so a change of the
+/// members is only recorded, and applied to a target when its ranks are next
+/// wanted: the work grows with the targets in use and not with the product of
+/// members and targets. Pure decisions.
 
 #ifndef PERIDOTFALL_PROXY_HOLDER_RANKS_H
 #define PERIDOTFALL_PROXY_HOLDER_RANKS_H
@@ -12,7 +13,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace peridotfall::proxy {
@@ -20,13 +24,16 @@
 /// Not synchronised.
 class HolderRanks {
 public:
-  void setMembers(const std::vector<Member> &live);
+  /// \return whether a daemon came, went or moved.
+  bool setMembers(const std::vector<Member> &live);
   /// \return number of daemons that may hold connections.
   std::size_t eligible() const { return Eligible.size(); }
-  /// \return the first \p count daemons for the target, by rank.
+  /// \return the first \p count daemons for the target, by rank. Takes time for
+  /// the changes since the last call for the target; the first time, and when
+  /// one of these daemons has left, for the daemons of its failure domain, or
+  /// for all if that has less than \p count.
   std::vector<VmName> first(const TargetEntry &target, std::size_t count);
-  /// Forgets all targets that are not in \p targets.
-  void retain(const TargetList &targets);
+  void forget(const TargetName &target) { Rankings.erase(target); }
   /// \return how often a daemon's rank for a target has been computed.
   std::uint64_t computedRanks() const { return Computed; }
 
@@ -36,16 +43,26 @@
     RegionName Region;
     std::size_t Wanted = 0;
     std::vector<OwnerRank> First;
-    bool Stale = true;
+    std::uint64_t UpTo = 0; ///< Number of changes that have been applied.
+  };
+  struct Change {
+    VmName Vm;
+    std::optional<Member> Joined; ///< Empty: it left.
   };
 
-  std::optional<OwnerRank> rankOf(const Member &member,
-                                  const TargetName &target,
-                                  const Ranking &ranking);
+  void recordLeft(const VmName &vm);
+  void recordJoined(const Member &member);
+  std::uint64_t changes() const { return FirstChange + Changes.size(); }
+  /// \return whether the ranking is up to date; otherwise it must be made anew.
+  bool applyChanges(const TargetName &target, Ranking &ranking);
   void insert(const Member &member, const TargetName &target, Ranking &ranking);
   void rankAll(const TargetName &target, Ranking &ranking);
 
   std::map<VmName, Member> Eligible;
+  std::map<DomainName, std::set<VmName>> ByDomain;
+  /// The latest changes, and the number of those before them.
+  std::deque<Change> Changes;
+  std::uint64_t FirstChange = 1;
   std::map<TargetName, Ranking> Rankings;
   std::uint64_t Computed = 0;
 };
--- a/src/proxy/peers.cpp
+++ b/src/proxy/peers.cpp
@@ -16,6 +16,16 @@
 
 } // namespace
 
+std::vector<std::string> chooseEvenly(std::vector<std::string> all,
+                                      std::size_t count) {
+  if (all.size() <= count)
+    return all;
+  std::vector<std::string> out;
+  for (std::size_t n = 0; n < count; ++n)
+    out.push_back(std::move(all[n * all.size() / count]));
+  return out;
+}
+
 Peers::Peers(Channels &channels, Member self, Groups &groups,
              const Clock &clock)
     : Links(channels), Targets(groups), Time(clock),
@@ -88,6 +98,8 @@
     answerGossip(request, respond);
   else if (request.Path == messages::LeaderViewPath)
     answerLeaderQuery(request, respond);
+  else if (request.Path == messages::MissingPrimaryPath)
+    acceptMissingReport(request, respond);
   else
     respond({StatusNone, {}, {}});
 }
@@ -113,15 +125,48 @@
     respond({StatusBadRequest, {}, query.error().Message});
     return;
   }
-  messages::LeaderView out;
   auto *group = Targets.markUsed(query.value().Group);
-  out.GroupKnown = group && !group->Targets.empty();
-  if (out.GroupKnown) {
-    auto proof = group->View.lastConfirmed();
-    out.PrimaryReachable = !group->LeaderMissingSince && proof &&
-                           Time.now() - *proof <= limits::ReachableWithin;
+  auto answer = [respond, known = group && !group->Targets.empty()](bool it) {
+    messages::LeaderView out;
+    out.GroupKnown = known;
+    out.PrimaryReachable = it;
+    respond({StatusOk, {}, messages::encode(out)});
+  };
+  auto proof = group ? group->View.lastConfirmed() : std::nullopt;
+  bool isRecent = proof && Time.now() - *proof <= limits::ReachableWithin;
+  // In a large fleet most daemons have not used the group for long.
+  if (group && !group->LeaderMissingSince && !isRecent)
+    Targets.checkPrimary(*group, limits::PrimaryCheckTimeout, answer);
+  else
+    answer(isRecent && !group->LeaderMissingSince);
+}
+
+void Peers::acceptMissingReport(const http::Request &request,
+                                const http::Respond &respond) {
+  auto report = messages::decodeLeaderQuery(request.Body);
+  if (!report) {
+    respond({StatusBadRequest, {}, report.error().Message});
+    return;
   }
-  respond({StatusOk, {}, messages::encode(out)});
+  Targets.handleMissingReport(report.value().Group);
+  respond({StatusOk, {}, {}});
+}
+
+void Peers::reportMissing(const GroupName &group, const VmName &leader) {
+  auto it = View.findMember(leader);
+  if (!it || it->InnerAddress.empty() || leader == View.self().Info.Vm)
+    return;
+  Links.call(it->InnerAddress, messages::MissingPrimaryPath,
+             messages::encode(messages::LeaderQuery{group}),
+             limits::LeaderQueryTimeout, [](const http::CallResult &) {});
+}
+
+std::vector<std::string> Peers::queryAddresses() const {
+  std::vector<std::string> all;
+  for (const auto &it : View.live())
+    if (it.Vm != View.self().Info.Vm && !it.InnerAddress.empty())
+      all.push_back(it.InnerAddress);
+  return chooseEvenly(std::move(all), limits::MaxPeersQueried);
 }
 
 void Peers::queryLeader(const GroupName &group,
@@ -131,11 +176,7 @@
     PeerReports Reports;
   };
   auto poll = std::make_shared<Poll>();
-  std::vector<std::string> addresses;
-  for (const auto &it : View.live())
-    if (it.Vm != View.self().Info.Vm && !it.InnerAddress.empty() &&
-        addresses.size() < limits::MaxPeersQueried)
-      addresses.push_back(it.InnerAddress);
+  auto addresses = queryAddresses();
   poll->Left = addresses.size();
   if (addresses.empty()) {
     done({});
--- a/src/proxy/peers.h
+++ b/src/proxy/peers.h
@@ -12,6 +12,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace peridotfall::proxy {
 
@@ -22,16 +24,24 @@
 inline constexpr milliseconds ProbeTimeout{500};
 /// Timeout of a leader query, which delays a change of the primary.
 inline constexpr milliseconds LeaderQueryTimeout{250};
+/// Timeout of the check of a primary that the asked daemon does not use; the
+/// rest of the query's time is for the way there and back.
+inline constexpr milliseconds PrimaryCheckTimeout{180};
 /// A primary that answered within this span is reported as reachable.
 inline constexpr milliseconds ReachableWithin{700};
-/// Maximum number of daemons in a leader query. A majority of 15 distinguishes
-/// a cut link from a failed target; querying all 1,700 would take longer.
+/// Maximum number of daemons in a leader query, evenly chosen by name and so
+/// from all failure domains. A majority of 15 distinguishes a cut link from a
+/// failed target; querying all 1,700 would take longer.
 inline constexpr std::size_t MaxPeersQueried = 15;
 /// Maximum number of recent members in one gossip message.
 inline constexpr std::size_t MaxGossipMembers = 32;
 
 } // namespace limits
 
+/// \return \p count of the values at even distances, or all if there are fewer.
+std::vector<std::string> chooseEvenly(std::vector<std::string> all,
+                                      std::size_t count);
+
 /// All calls on the loop's thread.
 class Peers {
 public:
@@ -52,12 +62,20 @@
   void handle(const http::Request &request, const http::Respond &respond);
   void queryLeader(const GroupName &group,
                    std::function<void(PeerReports)> done);
+  /// Reports a missing primary to the failover leader. Only daemons that use a
+  /// group notice that its primary fails, and the leader of a large fleet uses
+  /// few groups.
+  void reportMissing(const GroupName &group, const VmName &leader);
 
 private:
   void probe(const Member &member);
   void answerGossip(const http::Request &request, const http::Respond &respond);
   void answerLeaderQuery(const http::Request &request,
                          const http::Respond &respond);
+  void acceptMissingReport(const http::Request &request,
+                           const http::Respond &respond);
+  /// \return the addresses of the daemons to ask for their view.
+  std::vector<std::string> queryAddresses() const;
   std::string gossipFor(const VmName &vm);
   /// Calls OnMembers if there are changes and an update is due.
   void publish();
--- a/src/proxy/primary_wait.h
+++ b/src/proxy/primary_wait.h
@@ -51,6 +51,8 @@
 public:
   /// \param present whether a primary accepts new work.
   void note(bool present, TimePoint now);
+  /// \return whether a primary was ever known.
+  bool everPresent() const { return WasPresent; }
   /// \return since when the primary is missing; empty if it isn't, or if none
   /// was ever known.
   std::optional<TimePoint> since() const { return Since; }
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -79,7 +79,9 @@
   Answer answerOf(const std::string &target, const Statement &it) {
     if (it.Kind == StatementKind::Status) {
       auto out = success(it, TransactionState::Idle);
-      out.Status = TargetStatus{false, InTerm, Received[target]};
+      out.Status = target == "p"
+                       ? TargetStatus{true, InTerm, Head}
+                       : TargetStatus{false, InTerm, Received[target]};
       return out;
     }
     bool leads = target == "p";
@@ -379,6 +381,33 @@
   CHECK(Calls.Promotions[0].Target.Value == "s");
 }
 
+// The failover leader of a large fleet has not used the group, so that it knows
+// no position of its log. Records that only the leaving primary has would be
+// lost.
+TEST_CASE_FIXTURE(
+    FailoverControllerFixture,
+    "primary of a group not in use leaving, promotion waits until "
+    "a replica has caught up") {
+  becomeLeader();
+  Entries.at(TargetName("p")).Leaving = true;
+  TargetGroups.updateTargets(Entries);
+  auto runUnused = [&](Duration span) {
+    constexpr milliseconds Step{20};
+    for (Duration done{}; done < span; done += Step) {
+      Time.advance(Step);
+      TargetGroups.tick();
+      Failover.tick();
+      simulateTargets();
+    }
+  };
+  runUnused(milliseconds(600));
+  CHECK(Calls.Promotions.empty());
+  Received["s"] = Head;
+  runUnused(milliseconds(200));
+  REQUIRE(Calls.Promotions.size() == 1);
+  CHECK(Calls.Promotions[0].Target.Value == "s");
+}
+
 // Another leader replaced the primary while this daemon was partitioned. The
 // list of targets that is read before the decision names the new primary.
 TEST_CASE_FIXTURE(FailoverControllerFixture,
--- a/tests/proxy/holder_ranks_test.cpp
+++ b/tests/proxy/holder_ranks_test.cpp
@@ -131,3 +131,46 @@
   CHECK(computed <=
         DatabaseTargets * Holders * Daemons + Daemons * DatabaseTargets);
 }
+
+// Guards against work in proportion to members times targets: while a fleet
+// starts, each daemon learns of all others one by one, and it uses few of the
+// targets meanwhile.
+TEST_CASE_FIXTURE(RanksFixture,
+                  "holder ranks, fleet starts one by one, rank the targets in "
+                  "use only") {
+  constexpr std::size_t InUse = 10;
+  for (std::size_t daemons : {30, 100, 300, 1'000}) {
+    HolderRanks ranks;
+    Live.clear();
+    Targets.clear();
+    start(0, 3 * daemons);
+    for (std::size_t n = 0; n < daemons; ++n) {
+      Live.push_back(daemon(n));
+      ranks.setMembers(Live);
+      std::size_t used = 0;
+      for (const auto &[name, it] : Targets)
+        if (used++ < InUse)
+          ranks.first(it, Holders);
+    }
+    // Each daemon is ranked once for each target in use, and once more where
+    // the first of a failure domain make a ranking of all others void.
+    CHECK(ranks.computedRanks() <= 2 * InUse * daemons);
+    std::size_t checked = 0;
+    for (const auto &[name, it] : Targets)
+      if (checked++ < InUse)
+        CHECK(ranks.first(it, Holders) == expected(it));
+  }
+}
+
+// Guards against ranks that are wrong once more changes have come than are
+// kept.
+TEST_CASE_FIXTURE(RanksFixture,
+                  "holder ranks, target not used while all members change, "
+                  "equal a full ranking") {
+  start(12, 4);
+  for (std::size_t n = 0; n < 12; ++n) {
+    Live[n] = daemon(n + 12);
+    Ranks.setMembers(Live);
+  }
+  checkAll();
+}
