Store objects: a change costs what has changed

Cause: each change of one target had every daemon parse the JSON of all targets and compare the whole list; likewise for daemons.

--- a/src/proxy/object_cache.cpp
+++ b/src/proxy/object_cache.cpp
@@ -151,16 +151,16 @@
   MustList = false;
   auto before = std::exchange(Cached, std::move(listing.All));
   RetainedMissing.clear();
-  for (auto &[name, it] : before) {
+  for (const auto &[name, it] : before) {
     if (Cached.contains(name))
       continue;
     recordDeletion(name, Revision);
     if (GraceUntil) {
-      Cached[name] = std::move(it);
+      Cached[name] = it;
       RetainedMissing.insert(name);
     }
   }
-  publish();
+  publish(differences(before));
   endRefresh();
   startWatch();
 }
@@ -172,10 +172,10 @@
   for (const auto &[name, it] : Cached)
     if (!objects.contains(name))
       recordDeletion(name, revision);
-  Cached = objects;
+  auto before = std::exchange(Cached, objects);
   RetainedMissing.clear();
   Revision = revision;
-  publish();
+  publish(differences(before));
   return true;
 }
 
@@ -213,10 +213,12 @@
       RetainedMissing.erase(it.Name);
     }
   }
-  bool changed = !changes.Objects.empty();
-  if (changed)
-    publish();
-  if (changed && Options.ChangePause.count() > 0)
+  std::set<std::string> changed;
+  for (const auto &it : changes.Objects)
+    changed.insert(it.Name);
+  if (!changed.empty())
+    publish(changed);
+  if (!changed.empty() && Options.ChangePause.count() > 0)
     retryAfter(Options.ChangePause);
   else
     startWatch();
@@ -319,16 +321,30 @@
   if (!GraceUntil || now < *GraceUntil)
     return;
   GraceUntil.reset();
-  bool changed = false;
+  std::set<std::string> changed;
   for (const auto &name : std::exchange(RetainedMissing, {}))
-    changed = Cached.erase(name) > 0 || changed;
-  if (changed)
-    publish();
+    if (Cached.erase(name) > 0)
+      changed.insert(name);
+  if (!changed.empty())
+    publish(changed);
 }
 
-void ObjectCache::publish() {
+std::set<std::string> ObjectCache::differences(const Objects &before) const {
+  std::set<std::string> out;
+  for (const auto &[name, it] : before)
+    if (!Cached.contains(name))
+      out.insert(name);
+  for (const auto &[name, it] : Cached) {
+    auto known = before.find(name);
+    if (known == before.end() || known->second != it)
+      out.insert(name);
+  }
+  return out;
+}
+
+void ObjectCache::publish(const std::set<std::string> &changed) {
   if (OnChange)
-    OnChange(Cached);
+    OnChange(Cached, changed);
 }
 
 } // namespace peridotfall::proxy
--- a/src/proxy/object_cache.h
+++ b/src/proxy/object_cache.h
@@ -166,8 +166,10 @@
 
   /// Called when the store answers again after an outage.
   std::function<void()> OnAvailable;
-  /// Called whenever the cached objects have changed.
-  std::function<void(const Objects &)> OnChange;
+  /// Called whenever the cached objects have changed, with the names of those
+  /// that came, changed or went. There may be thousands of which one changed.
+  std::function<void(const Objects &, const std::set<std::string> &changed)>
+      OnChange;
 
   void start();
   void tick();
@@ -220,7 +222,9 @@
   void reportAge(TimePoint now);
   void remove(const std::string &name);
   void recordDeletion(const std::string &name, std::uint64_t revision);
-  void publish();
+  /// \return the names of the objects that differ from the cached ones.
+  std::set<std::string> differences(const Objects &before) const;
+  void publish(const std::set<std::string> &changed);
   void endRefresh();
 
   ObjectCacheOptions Options;
--- a/tests/proxy/object_cache_test.cpp
+++ b/tests/proxy/object_cache_test.cpp
@@ -42,9 +42,14 @@
       Source,
       Time};
   Objects Seen;
+  std::set<std::string> Changed; ///< Since the last call.
 
   MirrorFixture() {
-    Cache.OnChange = [this](const Objects &it) { Seen = it; };
+    Cache.OnChange = [this](const Objects &it,
+                            const std::set<std::string> &changed) {
+      Seen = it;
+      Changed = changed;
+    };
     Cache.start();
   }
   static StoredObject object(const char *name, std::uint64_t revision,
@@ -269,3 +274,19 @@
   Source.Watch(changes);
   CHECK(Cache.confirmedAt() == listed + milliseconds(500));
 }
+
+// Guards against work for thousands of objects at each change of one.
+TEST_CASE_FIXTURE(MirrorFixture,
+                  "watch and list, names of the changed objects, are passed "
+                  "on") {
+  using Names = std::set<std::string>;
+  Source.Lists[0](page({object("a", 3), object("b", 4)}, 10));
+  CHECK(Changed == Names{"a", "b"});
+  Source.Watch(page({object("b", 11), object("c", 12)}, 12));
+  CHECK(Changed == Names{"b", "c"});
+  Source.Watch(page({object("a", 13, true)}, 13));
+  CHECK(Changed == Names{"a"});
+  Cache.refresh();
+  Source.Lists[1](page({object("b", 11), object("c", 14)}, 15));
+  CHECK(Changed == Names{"c"});
+}
