Channels: connections to daemons are closed when idle

Cause: a daemon kept a connection to each other one that it ever called.

Change: a connection without a call for 15 s is closed, unless a lease is open at the daemon, which would end with it. Its number follows from the calls in that time and not from the fleet. Counters of connections opened, closed as idle and dropped, and gauges of connections and groups in use.

Weighed: a daemon in each failure domain that passes statements on would make for fewer connections (six at most a VM) and an additional hop, 0.1 ms in the domain; at two statements a second a VM a connection for each costs half a per cent of its share by reckoning.

--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -52,6 +52,8 @@
   /// Thread-safe. \return whether the connection has ended for good: closed, or
   /// lost without Reconnect.
   bool isTerminated() const { return Terminated.load(); }
+  /// On the channel's loop only. \return whether a call has no answer yet.
+  bool hasCalls() const { return !Pending.empty() || !InFlight.empty(); }
   const std::string &address() const { return Address; }
   asio::io_context &loop() { return Loop; }
 
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -114,6 +114,10 @@
       to, "peridotfall_copy_bytes_total",
       "Bytes of copies of the store's objects, by kind: sent to other daemons; "
       "received from them or from the store, given up on or not.");
+  it.ChannelEvents = &counters(
+      to, "peridotfall_daemon_connections_total",
+      "Connections to other daemons: opened, closed as idle, dropped since the "
+      "other daemon did not answer.");
   it.PresentValues = &prometheus::BuildGauge()
                           .Name("peridotfall_now")
                           .Help("Present values; the label says of what.")
@@ -186,6 +190,13 @@
       .Increment(static_cast<double>(bytes));
 }
 
+void countChannelEvent(ProxyMetrics &it, ChannelEvent event) {
+  const char *name = event == ChannelEvent::Opened       ? "opened"
+                     : event == ChannelEvent::ClosedIdle ? "closed_idle"
+                                                         : "dropped";
+  it.ChannelEvents->Add({{"event", name}}).Increment();
+}
+
 std::string writeText(ProxyMetrics &it, const ProxyGauges &now) {
   auto set = [&](const char *what, double value) {
     it.PresentValues->Add({{"of", what}}).Set(value);
@@ -195,6 +206,8 @@
   set("target_connections_idle", static_cast<double>(now.ConnectionsIdle));
   set("waiting_for_connection", static_cast<double>(now.Waiting));
   set("waiting_of_one_account", static_cast<double>(now.WaitingOfOneAccount));
+  set("daemon_connections", static_cast<double>(now.DaemonConnections));
+  set("groups_in_use", static_cast<double>(now.GroupsInUse));
   set("daemons_alive", static_cast<double>(now.Members));
   set("configuration_version", static_cast<double>(now.Version));
   set("holds_failover_duty", now.IsFailoverLeader ? 1 : 0);
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -54,6 +54,13 @@
 /// daemons, and received from them or from the store.
 enum class SnapshotFlow : std::uint8_t { Sent, Received };
 
+/// What happened to a connection to another daemon.
+enum class ChannelEvent : std::uint8_t {
+  Opened,
+  ClosedIdle, ///< It was not used for long.
+  Dropped,    ///< The other daemon did not answer in time.
+};
+
 /// Time since the store last answered for a kind of objects.
 struct StoreAge {
   std::string Kind;
@@ -69,6 +76,8 @@
   std::size_t ConnectionsIdle = 0;
   std::size_t Waiting = 0;
   std::size_t WaitingOfOneAccount = 0; ///< At one target, the most.
+  std::size_t DaemonConnections = 0;   ///< To other daemons.
+  std::size_t GroupsInUse = 0;
   std::size_t Members = 0;
   std::uint64_t Version = 0; ///< Of the current configuration.
   bool IsFailoverLeader = false;
@@ -104,6 +113,7 @@
   Counter RecordsMissing = nullptr;
   Family StoreCalls = nullptr;
   Family SnapshotBytes = nullptr;
+  Family ChannelEvents = nullptr;
   prometheus::Family<prometheus::Gauge> *PresentValues = nullptr;
   prometheus::Family<prometheus::Gauge> *StoreAge = nullptr;
 };
@@ -128,6 +138,7 @@
                     bool answered);
 void countSnapshotBytes(ProxyMetrics &it, const std::string &kind,
                         SnapshotFlow flow, std::size_t bytes);
+void countChannelEvent(ProxyMetrics &it, ChannelEvent event);
 
 /// \return the metrics in the Prometheus text format, with event counts.
 std::string writeText(ProxyMetrics &it, const ProxyGauges &now);
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -2,8 +2,10 @@
 
 #include "messages/lease.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <utility>
+#include <vector>
 
 namespace peridotfall::proxy {
 
@@ -27,18 +29,46 @@
 
 std::shared_ptr<http::Channel> Channels::to(const std::string &address) {
   auto &it = Open[address];
-  if (!it)
-    it = std::make_shared<http::Channel>(Loop, address, http::ChannelOptions{});
-  return it;
+  if (!it.Channel) {
+    it.Channel =
+        std::make_shared<http::Channel>(Loop, address, http::ChannelOptions{});
+    report(ChannelEvent::Opened);
+  }
+  it.Used = true;
+  return it.Channel;
+}
+
+void Channels::report(ChannelEvent event) const {
+  if (OnEvent)
+    OnEvent(event);
 }
 
 void Channels::drop(const std::string &address) {
+  close(address, ChannelEvent::Dropped);
+}
+
+void Channels::close(const std::string &address, ChannelEvent why) {
   auto it = Open.find(address);
   if (it == Open.end())
     return;
-  auto channel = it->second;
+  auto channel = it->second.Channel;
   Open.erase(it);
   channel->close();
+  report(why);
+}
+
+void Channels::closeIdle(
+    TimePoint now, const std::function<bool(const std::string &)> &isHeld) {
+  std::vector<std::string> idle;
+  for (auto &[address, it] : Open) {
+    bool used = std::exchange(it.Used, false) || it.Channel->hasCalls();
+    if (used || isHeld(address))
+      it.LastUse = now;
+    else if (now - it.LastUse >= limits::ChannelIdleTimeout)
+      idle.push_back(address);
+  }
+  for (const auto &it : idle)
+    close(it, ChannelEvent::ClosedIdle);
 }
 
 void Channels::call(const std::string &address, const char *path,
@@ -57,6 +87,12 @@
   to(address)->call(std::move(request), limits, std::move(done));
 }
 
+bool RelayClient::hasLeaseAt(const std::string &address) const {
+  return std::any_of(Leases.begin(), Leases.end(), [&](const auto &it) {
+    return it.second.Address == address;
+  });
+}
+
 void RelayClient::begin(const VmName &holder, LeaseId lease,
                         const LeaseRequest &request, Batch first,
                         OnBatch done) {
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -8,6 +8,7 @@
 #include "http/channel.h"
 #include "http/message.h"
 #include "proxy/groups.h"
+#include "proxy/metrics.h"
 
 #include <functional>
 #include <map>
@@ -20,6 +21,11 @@
 
 /// Added to the timeout of a batch at its holder, for the round trip.
 inline constexpr milliseconds RelaySlack{100};
+/// A connection to a daemon without a call for this long is closed. A daemon
+/// then has as many as it makes calls to different daemons in this time, and
+/// not one to each daemon that it ever called; each takes a descriptor and
+/// memory at both ends. Longer than the interval between calls to a neighbour.
+inline constexpr milliseconds ChannelIdleTimeout{15'000};
 
 } // namespace limits
 
@@ -37,11 +43,17 @@
 public:
   explicit Channels(asio::io_context &loop) : Loop(loop) {}
 
+  std::function<void(ChannelEvent)> OnEvent;
   std::shared_ptr<http::Channel> to(const std::string &address);
   /// Closes an unresponsive connection; the next call opens a new one.
   void drop(const std::string &address);
   void call(const std::string &address, const char *path, std::string body,
             const http::AnswerLimits &limits, http::OnResult done) override;
+  /// Closes the connections without a call for ChannelIdleTimeout.
+  /// \param isHeld whether something else needs the connection to an address.
+  void closeIdle(TimePoint now,
+                 const std::function<bool(const std::string &)> &isHeld);
+  std::size_t open() const { return Open.size(); }
   /// \param limit timeout of the whole answer.
   void call(const std::string &address, const char *path, std::string body,
             milliseconds limit, http::OnResult done) {
@@ -50,8 +62,17 @@
   }
 
 private:
+  void close(const std::string &address, ChannelEvent why);
+  void report(ChannelEvent event) const;
+
+  struct OpenChannel {
+    std::shared_ptr<http::Channel> Channel;
+    bool Used = false; ///< Since closeIdle() was last called.
+    TimePoint LastUse{};
+  };
+
   asio::io_context &Loop;
-  std::map<std::string, std::shared_ptr<http::Channel>> Open;
+  std::map<std::string, OpenChannel> Open;
 };
 
 /// Requests leases from the holders. All calls on the loop's thread.
@@ -66,6 +87,9 @@
   void run(LeaseId lease, Batch next, OnBatch done) override;
   void abandon(LeaseId lease) override;
   bool owns(LeaseId lease) const override { return Leases.contains(lease); }
+  /// \return whether a lease is open at the daemon, which ends with the
+  /// connection to it.
+  bool hasLeaseAt(const std::string &address) const;
 
 private:
   struct RemoteLease {
