First watcher: a daemon that starts finds one that passes the lists on

Cause: each daemon that starts listed all daemons from the store, twice a page of 500, until it knew who watches for its failure domain. That is N lists of N objects: 986 VMs ask for about 300 MB, half of it over a link of 150 Mbit/s between the regions, where a list times out after 1.5 s and is hedged and repeated. Seen: 912 of 986 members known after 12 s, 11 calls a VM.

Change: an object for each failure domain names a daemon that watches. A daemon that starts reads it, one small call, and takes the list there. The first watcher of the domain renews it if the one named is gone.

Weighed: stale lists cost a tenth but are as large; a list by one daemon and gossip to the others needs as many messages as there are daemons and as many records in each.

--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -37,10 +37,10 @@
     watchers.resize(limits::WatchersPerDomain);
   if (std::any_of(watchers.begin(), watchers.end(),
                   [&](const Member &it) { return it.Vm == self; }))
-    return {{}, true, near.size()};
+    return {{}, true, near.size(), watchers.front().Vm == self};
   // Each daemon has its own order, which spreads the calls over the watchers.
   return {rankOwners(watchers, TargetName(self.Value), domain, RegionName()),
-          false, near.size()};
+          false, near.size(), false};
 }
 
 bool isDaemonListDue(bool fleetStarts, Duration sinceStart) {
@@ -60,7 +60,15 @@
 
 void SharedWatch::updateMembers(const VmName &self, const DomainName &domain,
                                 const std::vector<Member> &live) {
-  Plan = planWatches(self, domain, live);
+  PlanByMembers = planWatches(self, domain, live);
+  setFirstWatcher(FirstWatcher);
+}
+
+void SharedWatch::setFirstWatcher(std::optional<Member> watcher) {
+  FirstWatcher = std::move(watcher);
+  Plan = PlanByMembers;
+  if (FirstWatcher && Plan.Watchers.empty() && !Plan.WatchesForOthers)
+    Plan.Watchers = {*FirstWatcher};
 }
 
 void logLargeAnswer(const CallRecord &line) {
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -59,6 +60,7 @@
   std::vector<Member> Watchers;  ///< In call order; empty: watch the store.
   bool WatchesForOthers = false; ///< Whether others call this daemon.
   std::size_t DomainDaemons = 0; ///< Daemons of the failure domain.
+  bool IsFirst = false;          ///< Among those that others call.
 
   auto operator<=>(const WatchPlan &) const = default;
 };
@@ -125,6 +127,10 @@
 
   void updateMembers(const VmName &self, const DomainName &domain,
                      const std::vector<Member> &live);
+  /// \param watcher called as long as the members tell of no daemon to call;
+  /// empty: the store is called then.
+  void setFirstWatcher(std::optional<Member> watcher);
+  const WatchPlan &plan() const { return Plan; }
   void list(const std::string &kind, const std::string &after,
             milliseconds limit, OnPage done) override;
   void watch(const std::string &kind, std::uint64_t revision, milliseconds wait,
@@ -163,7 +169,9 @@
   std::string Sentinel;
   milliseconds MaxAge;
   const Clock &Time;
-  WatchPlan Plan;
+  WatchPlan PlanByMembers;
+  WatchPlan Plan; ///< The same, or the first watcher.
+  std::optional<Member> FirstWatcher;
   std::map<VmName, WatcherState> Watchers;
   /// When the store may be called again during an outage, by kind.
   std::map<std::string, TimePoint> NextStoreCall;
