Membership: the list's newer incarnation ends a suspicion

Cause: a daemon that was suspected and restarts counts as live only once gossip of its new incarnation arrives, and a message has room for 32 records. When half of 986 daemons restart together, 540 records are under way, while the store's list, which all get within a second, has every new incarnation.

Change: an entry of the list with a higher incarnation than the suspected record's replaces it. Who does not answer is suspected by probes as before. The new test failed before.

Not measured on the fleet alone.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -68,6 +68,16 @@
     next.Leaving = known.Leaving;
     if (!moved && known.Incarnation != 0)
       next.InnerAddress = known.InnerAddress;
+    // The list tells of hundreds of restarts at once, gossip of a few with each
+    // message. Who was suspected before its restart is probed anew.
+    if (!entry.Record.Suspecting.empty() &&
+        listed.Incarnation > known.Incarnation) {
+      next.Incarnation = listed.Incarnation;
+      next.Leaving = false;
+      entry.Record.Version = 0;
+      entry.Record.Suspecting.clear();
+      entry.Misses = 0;
+    }
     known = next;
   }
   if (effective(entry) != before)
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -233,6 +233,27 @@
   CHECK(View.generation() != before);
 }
 
+// Guards against daemons that get no work for seconds after hundreds have
+// restarted together: gossip has room for a few records a message.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "membership, list names a suspected daemon's next start, it "
+                  "is live") {
+  list({"vm-1", "vm-2", "vm-3"});
+  View.handleGossip({record("vm-2", 5, 3, {VmName("vm-3"), VmName("vm-4")})},
+                    Time.now());
+  REQUIRE_FALSE(isLive("vm-2"));
+  auto listed = daemon("vm-2", 5);
+  View.updateList({daemon("vm-1", 1), listed, daemon("vm-3", 1)}, Time.now());
+  CHECK_FALSE(isLive("vm-2"));
+  listed.Incarnation = 6;
+  View.updateList({daemon("vm-1", 1), listed, daemon("vm-3", 1)}, Time.now());
+  CHECK(isLive("vm-2"));
+  // A report on the earlier process says nothing about this one.
+  View.handleGossip({record("vm-2", 5, 4, {VmName("vm-3"), VmName("vm-4")})},
+                    Time.now());
+  CHECK(isLive("vm-2"));
+}
+
 TEST_CASE_FIXTURE(MembershipFixture,
                   "membership, recent changes, come newest first and once") {
   View.handleContact(record("vm-2", 5), Time.now());
