--- a/src/proxy/snapshot_exchange.cpp
+++ b/src/proxy/snapshot_exchange.cpp
@@ -17,16 +17,32 @@
 } // namespace
 
 void SnapshotExchange::updateMembers(const VmName &self,
+                                     const DomainName &domain,
                                      const std::vector<Member> &live) {
-  Addresses.clear();
+  Near.clear();
+  Elsewhere.clear();
   for (const auto &it : live)
     if (it.Vm != self && !it.InnerAddress.empty())
-      Addresses.push_back(it.InnerAddress);
+      (it.Domain == domain ? Near : Elsewhere).push_back(it.InnerAddress);
+}
+
+/// \return a random daemon; in a large failure domain mostly one of the same.
+const std::string &SnapshotExchange::chooseAddress() {
+  auto all = Near.size() + Elsewhere.size();
+  auto choices = all;
+  if (Near.size() > limits::AskersElsewhere && !Elsewhere.empty()) {
+    std::uniform_int_distribution<std::size_t> draw(0, Near.size() - 1);
+    if (draw(Random) >= limits::AskersElsewhere)
+      choices = Near.size();
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, choices - 1);
+  auto n = pick(Random);
+  return n < Near.size() ? Near[n] : Elsewhere[n - Near.size()];
 }
 
 void SnapshotExchange::tick() {
   auto now = Time.now();
-  if (now < NextRequest || Addresses.empty())
+  if (now < NextRequest || (Near.empty() && Elsewhere.empty()))
     return;
   NextRequest = now + limits::SnapshotRequestPause;
   for (auto *it : Caches)
@@ -39,10 +55,9 @@
 /// the others have newer ones. One random daemon at a time spreads a change
 /// over any number of daemons.
 void SnapshotExchange::requestSnapshot(ObjectCache &cache) {
-  std::uniform_int_distribution<std::size_t> pick(0, Addresses.size() - 1);
   auto body = messages::encode(messages::SnapshotRequest{
       cache.kind(), cache.revision(), largeObjects(cache.objects()), true});
-  const auto &address = Addresses[pick(Random)];
+  const auto &address = chooseAddress();
   Pending.insert(cache.kind());
   auto handleResult = [this, &cache, address,
                        began = Time.now()](const http::CallResult &result) {
--- a/src/proxy/snapshot_exchange.h
+++ b/src/proxy/snapshot_exchange.h
@@ -27,6 +27,11 @@
 /// a second costs the receiver a few dozen microseconds.
 inline constexpr milliseconds SnapshotRequestPause{500};
 inline constexpr milliseconds SnapshotTimeout{400};
+/// Daemons of a failure domain that ask one of another domain in each round, on
+/// average. With four, one in fifty rounds is without any. The others have the
+/// copy from each other, so that the copies which cross a link between regions
+/// do not grow with the daemons.
+inline constexpr std::size_t AskersElsewhere = 4;
 
 } // namespace limits
 
@@ -40,13 +45,15 @@
 
   /// \param cache must outlive this.
   void add(ObjectCache &cache) { Caches.push_back(&cache); }
-  void updateMembers(const VmName &self, const std::vector<Member> &live);
+  void updateMembers(const VmName &self, const DomainName &domain,
+                     const std::vector<Member> &live);
   void tick();
   /// \return whether the path belongs to this protocol.
   bool handle(const http::Request &request, const http::Respond &respond);
 
 private:
   void requestSnapshot(ObjectCache &cache);
+  const std::string &chooseAddress();
 
   CallPort &Links;
   ObjectPacker &Packer;
@@ -55,7 +62,8 @@
   std::mt19937_64 Random;
   std::vector<ObjectCache *> Caches;
   std::set<std::string> Pending; ///< Kinds with a pending request.
-  std::vector<std::string> Addresses;
+  std::vector<std::string> Near; ///< Daemons of this failure domain.
+  std::vector<std::string> Elsewhere;
   TimePoint NextRequest{};
 };
 
--- a/tests/proxy/large_snapshots_test.cpp
+++ b/tests/proxy/large_snapshots_test.cpp
@@ -237,7 +237,7 @@
     WatchLinks.add(Cache);
     Snapshots.add(Cache);
     Watch.updateMembers(Self.Vm, Here, live);
-    Snapshots.updateMembers(Self.Vm, live);
+    Snapshots.updateMembers(Self.Vm, Self.Domain, live);
   }
   void handle(const http::Request &request, const http::Respond &respond) {
     if (!Snapshots.handle(request, respond))
