Shared watch: daemons without objects list the store in turns

The store stands in tartu. Where a watcher had nothing to pass on after 0.4 s, each of 160 daemons of its domain listed 3,000 targets itself, over the link of 150 Mbit/s; these lists kept those of the watchers from ending, and each was repeated after 1.5 s. By reckoning: 490 VMs times 1.5 MB are 40 s of the link.

Change: daemons that have no objects list the store six at a time of a domain, every three seconds, by a hash of their names, both beside a call of a watcher and when the watchers report an outage. While the size of the domain is not known no list is sent beside the first watcher's. Domains of up to six daemons, and daemons that have objects, do as before.

Ruled out: a lower rate of calls for all kinds, since what counts is bytes, and the configuration of a daemon that has one is fetched by a small watch.

--- a/src/proxy/object_cache.cpp
+++ b/src/proxy/object_cache.cpp
@@ -64,8 +64,10 @@
   if (!begun) {
     SharedPending = false;
     listIfDue();
-  } else if (SharedPending && !EverCurrent)
-    retryAfter(limits::HedgeDelay);
+  } else if (SharedPending && !EverCurrent) {
+    if (auto delay = Source.hedgeDelay())
+      retryAfter(*delay);
+  }
 }
 
 void ObjectCache::handleSharedChanges(const ObjectChanges &changes) {
--- a/src/proxy/object_cache.h
+++ b/src/proxy/object_cache.h
@@ -120,6 +120,11 @@
   /// \return whether a call to the store may succeed and is worth its cost. If
   /// not, the caller waits as after an unanswered call.
   virtual bool isStoreCallDue(const std::string &) const { return true; }
+  /// \return how long a daemon that starts waits for another one's objects
+  /// before it lists the store beside; empty if it waits for that call's end.
+  virtual std::optional<milliseconds> hedgeDelay() const {
+    return limits::HedgeDelay;
+  }
   /// \return whether an answer for the kind is being received.
   virtual bool isReceiving(const std::string &) const { return false; }
 };
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -1,5 +1,6 @@
 #include "proxy/shared_watch.h"
 
+#include "membership/stable_hash.h"
 #include "telemetry/events.h"
 
 #include <algorithm>
@@ -60,6 +61,7 @@
 
 void SharedWatch::updateMembers(const VmName &self, const DomainName &domain,
                                 const std::vector<Member> &live) {
+  Self = self;
   PlanByMembers = planWatches(self, domain, live);
   setFirstWatcher(FirstWatcher);
 }
@@ -108,8 +110,7 @@
     NextStoreCall.erase(kind);
   } else {
     logUnanswered(line);
-    NextStoreCall[kind] =
-        Time.now() + limits::OutageCallInterval * Plan.DomainDaemons;
+    NextStoreCall[kind] = Time.now() + outageInterval(kind);
   }
   if (OnStoreCall)
     OnStoreCall(kind, answered);
@@ -151,6 +152,32 @@
               });
 }
 
+milliseconds SharedWatch::directListDelay() const {
+  if (Plan.DomainDaemons <= limits::DirectListsAtOnce)
+    return milliseconds(0);
+  auto place = stableHash(Self.Value, "direct list") % Plan.DomainDaemons;
+  return limits::DirectListInterval * (place / limits::DirectListsAtOnce);
+}
+
+milliseconds SharedWatch::outageInterval(const std::string &kind) const {
+  milliseconds interval = limits::OutageCallInterval * Plan.DomainDaemons;
+  if (ConfirmedAt.contains(kind) ||
+      Plan.DomainDaemons <= limits::DirectListsAtOnce)
+    return interval;
+  // Without objects the call is a list of all.
+  milliseconds turns = limits::DirectListInterval *
+                       (Plan.DomainDaemons / limits::DirectListsAtOnce);
+  return std::max(interval, turns);
+}
+
+/// The call of another daemon ends in time if that one is lost. Where the size
+/// of the failure domain is not known yet, all could list at once.
+std::optional<milliseconds> SharedWatch::hedgeDelay() const {
+  if (Plan.DomainDaemons == 0)
+    return std::nullopt;
+  return limits::HedgeDelay + directListDelay();
+}
+
 bool SharedWatch::reportsOutage(const VmName &watcher, TimePoint now) const {
   auto it = Watchers.find(watcher);
   return it != Watchers.end() && it->second.ReportedOutageAt &&
@@ -193,6 +220,10 @@
                   [&](const Member &it) { return reportsOutage(it.Vm, now); });
   if (!outage)
     return true;
+  bool isMyTurn = ConfirmedAt.contains(kind) || !OutageSince ||
+                  now >= *OutageSince + directListDelay();
+  if (!isMyTurn)
+    return false;
   bool reached = kind == Sentinel || !isTooOld(Sentinel);
   auto next = NextStoreCall.find(kind);
   return reached && isTooOld(kind) &&
@@ -217,9 +248,10 @@
   auto &it = Watchers[watcher];
   it.PausedUntil =
       now + (answered ? limits::OutageReportPause : limits::WatcherPause);
-  if (answered)
+  if (answered) {
     it.ReportedOutageAt = now;
-  else
+    OutageSince = OutageSince.value_or(now);
+  } else
     it.ReportedOutageAt.reset();
 }
 
@@ -247,6 +279,7 @@
       changes.Age = it->Age + reply.Received.Elapsed;
       ConfirmedAt[kind] = std::max(ConfirmedAt[kind], Time.now() - changes.Age);
       Watchers.erase(vm);
+      OutageSince.reset();
       logLargeAnswer(line);
       done(changes);
       return;
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -45,6 +45,13 @@
 /// interval times the number of daemons in its failure domain, so that the rate
 /// of a domain does not grow with its size.
 inline constexpr milliseconds OutageCallInterval{50};
+/// Daemons of a failure domain that list the store at once because the daemons
+/// which watch for them have no objects to pass on, and the time until the next
+/// ones do. In a domain of 160 daemons that starts, the lists of all would fill
+/// a link between regions for as long as it takes to repeat those that time
+/// out, those of the watchers among them.
+inline constexpr std::size_t DirectListsAtOnce = 6;
+inline constexpr milliseconds DirectListInterval = 2 * ListTimeout;
 /// A daemon that watches for others notices an outage at the latest after the
 /// greatest age of cached objects divided by this.
 inline constexpr int MaxAgeDivisor = 2;
@@ -138,6 +145,7 @@
   bool watchShared(const std::string &kind, std::uint64_t revision,
                    milliseconds wait, const OnChanges &done) override;
   bool isStoreCallDue(const std::string &kind) const override;
+  std::optional<milliseconds> hedgeDelay() const override;
   bool isReceiving(const std::string &kind) const override {
     return Store.isReceiving(kind);
   }
@@ -149,6 +157,10 @@
     std::optional<TimePoint> ReportedOutageAt;
   };
 
+  /// \return the time until this daemon's turn to list the store directly.
+  milliseconds directListDelay() const;
+  /// \return the interval between two of its calls of the store in an outage.
+  milliseconds outageInterval(const std::string &kind) const;
   bool reportsOutage(const VmName &watcher, TimePoint now) const;
   const Member *nextWatcher(TimePoint now) const;
   milliseconds timeUntilTooOld(const std::string &kind) const;
@@ -169,6 +181,9 @@
   std::string Sentinel;
   milliseconds MaxAge;
   const Clock &Time;
+  VmName Self;
+  /// Since when the daemons that watch for this one report an outage.
+  std::optional<TimePoint> OutageSince;
   WatchPlan PlanByMembers;
   WatchPlan Plan; ///< The same, or the first watcher.
   std::optional<Member> FirstWatcher;
--- a/tests/proxy/shared_watch_test.cpp
+++ b/tests/proxy/shared_watch_test.cpp
@@ -213,6 +213,48 @@
   CHECK(started.revision() == OwnStore.Revision);
 }
 
+// Guards against a link between regions that is full of lists: where the two
+// that watch for a domain are not served in time, all others listed the store,
+// and their lists kept those of the two from ending.
+TEST_CASE("domain of 160 daemons starts, watchers have nothing yet, a few list "
+          "the store at a time") {
+  constexpr std::size_t Daemons = 160;
+  auto members = membersOf(Daemons);
+  ManualClock time;
+  std::map<Duration, std::size_t> hedges;
+  std::size_t calledInOutage = 0;
+  for (const auto &self : members) {
+    FakeStore store(time);
+    struct Unavailable final : WatcherPort {
+      void watch(const std::string &, const messages::WatchRequest &,
+                 milliseconds, OnWatchAnswer done) override {
+        done({messages::WatchAnswer{}});
+      }
+    } link;
+    SharedWatch watch(store, link, "config", milliseconds(1'500), time);
+    watch.updateMembers(self.Vm, Here, members);
+    if (watch.plan().WatchesForOthers)
+      continue;
+    REQUIRE(watch.hedgeDelay());
+    ++hedges[*watch.hedgeDelay()];
+    ObjectCache cache({.Kind = "config"}, watch, time);
+    cache.start();
+    calledInOutage += store.Calls;
+  }
+  CHECK(calledInOutage <= 3 * limits::DirectListsAtOnce);
+  for (const auto &[delay, n] : hedges)
+    CHECK(n <= 3 * limits::DirectListsAtOnce);
+  CHECK(hedges.size() >= Daemons / limits::DirectListsAtOnce / 2);
+}
+
+// Guards against lists by all daemons while their number is not known yet.
+TEST_CASE_FIXTURE(SharedWatchFixture,
+                  "first watcher called, no list is sent beside") {
+  Watch.updateMembers(membersOf(1)[0].Vm, Here, membersOf(1));
+  Watch.setFirstWatcher(membersOf(2)[1]);
+  CHECK_FALSE(Watch.hedgeDelay());
+}
+
 // Guards against a deleted target that remains in a cache: the deletion must be
 // forwarded, also where the watcher learned of it by a list.
 TEST_CASE_FIXTURE(SharedWatchFixture,
