--- a/src/proxy/first_watcher.h
+++ b/src/proxy/first_watcher.h
@@ -2,9 +2,9 @@
 /// How a daemon that starts finds one that already watches the store for its
 /// failure domain. Load: a fleet whose daemons all start. Listing the daemons
 /// takes an answer in proportion to their number, so that the answers of all
-/// grow with its square; a region's link was full of them for seconds. A record
-/// for each failure domain names a daemon that passes the list on. Decides
-/// only; the caller reads and writes the record.
+/// grow with its square and fill a link between regions. A record for each
+/// failure domain names a daemon that passes the list on. Decides only; the
+/// caller reads and writes the record.
 
 #ifndef PERIDOTFALL_PROXY_FIRST_WATCHER_H
 #define PERIDOTFALL_PROXY_FIRST_WATCHER_H
