--- a/tests/proxy/fleet_groups_test.cpp
+++ b/tests/proxy/fleet_groups_test.cpp
@@ -284,6 +284,11 @@
   }
   void queryPeers(const GroupName &group) override { Queried.push_back(group); }
 
+  void startLeader(std::size_t groups, bool primaries) {
+    start(groups, 30, primaries);
+    Failover.updateMembers(Live);
+    Failover.handleRecord(LeadershipRecord{Self.Vm, 7, 1, 1'000}, 5);
+  }
   void runLeader(Duration span) {
     for (Duration done{}; done < span; done += Tick) {
       Time.advance(Tick);
@@ -309,9 +314,7 @@
 TEST_CASE_FIXTURE(LostRegionFixture,
                   "failover leader, primaries of 200 groups vanish, suspects a "
                   "few at a time with one list for all") {
-  start(200, 30, true);
-  Failover.updateMembers(Live);
-  Failover.handleRecord(LeadershipRecord{Self.Vm, 7, 1, 1'000}, 5);
+  startLeader(200, true);
   runLeader(milliseconds(200));
   for (std::size_t n = 0; n < 200; ++n)
     Entries.erase(targetName(n, 0));
@@ -327,9 +330,7 @@
 TEST_CASE_FIXTURE(LostRegionFixture,
                   "failover leader, primary not listed yet, is not suspected "
                   "before its entry could be gone") {
-  start(1, 30, false);
-  Failover.updateMembers(Live);
-  Failover.handleRecord(LeadershipRecord{Self.Vm, 7, 1, 1'000}, 5);
+  startLeader(1, false);
   runLeader(milliseconds(5'000));
   CHECK(TargetReads == 0);
   runLeader(milliseconds(2'000));
