Quotas: who granted, by which version and with which share, is logged

The record of an account that got more than its limit could not tell apart a counter without a quota for the account, copies sent twice, and operations run before they were counted: the refusal's account was empty, and nothing named the counter, its configuration, its share of the limit or the daemons it knew.

Added: the account in PF5002 and PF5009; PF3011, a report about an account without a quota here; PF3012, once a second, what a counter counted for an account at its limit, with version, share, daemons and level; PF3013 the same at the asking daemon, with what it ran unasked.

No decision changes.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -5,6 +5,7 @@
 #include "telemetry/events.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <functional>
 #include <iterator>
 #include <numeric>
@@ -70,8 +71,10 @@
 }
 
 void QuotaCounter::apply(const AccountTable &accounts,
-                         const QuotaTolerance &tolerance) {
+                         const QuotaTolerance &tolerance,
+                         std::uint64_t version) {
   auto now = Time.now();
+  Version = version;
   if (std::exchange(Window, tolerance.Window) != tolerance.Window)
     Counts.clear();
   std::map<AccountName, Count> next;
@@ -96,19 +99,45 @@
 messages::AccountGrant QuotaCounter::handle(const messages::AccountUse &use,
                                             double least) {
   auto it = Counts.find(use.Account);
-  if (it == Counts.end())
+  if (it == Counts.end()) {
+    telemetry::log(Event::AccountUncounted,
+                   {field("account", use.Account.Value),
+                    field("version", Version), field("reported", use.Run),
+                    field("asked", use.Asked)});
     return {use.Asked, QuotaMode::Report, {}};
+  }
   auto now = Time.now();
-  auto &[bucket, partition] = it->second;
+  auto &[bucket, partition, tally] = it->second;
   bucket.refill(Shares.shares(partition, bucket.filled(), now), least, now);
   bucket.spend(use.Run);
   messages::AccountGrant out;
   out.Granted = bucket.take(use.Asked);
   out.Mode = bucket.mode();
   out.Wait = bucket.untilNext();
+  tally.Reported += use.Run;
+  tally.Granted += out.Granted;
+  tally.Refused += use.Asked - out.Granted;
   return out;
 }
 
+void QuotaCounter::logUse() {
+  auto now = Time.now();
+  for (auto &[name, it] : Counts) {
+    auto tally = std::exchange(it.Tally, {});
+    if (tally.Refused == 0)
+      continue;
+    auto held = Shares.shares(it.Partition, now, now);
+    telemetry::log(Event::AccountCounted,
+                   {field("account", name.Value), field("version", Version),
+                    field("reported", tally.Reported),
+                    field("granted", tally.Granted),
+                    field("refused", tally.Refused),
+                    field("share", fmt::format("{:.4f}", held.Now)),
+                    field("daemons", Shares.daemons(it.Partition)),
+                    field("level", fmt::format("{:.1f}", it.Bucket.level()))});
+  }
+}
+
 AccountQuotas::AccountQuotas(CallPort &calls, VmName self, const Clock &clock,
                              QuotaProcess process)
     : Calls(calls), Self(std::move(self)), Time(clock),
@@ -122,9 +151,11 @@
       Delegated(process.Incarnation), Counter(Delegated, clock) {}
 
 void AccountQuotas::apply(const AccountTable &accounts,
-                          const QuotaTolerance &tolerance) {
+                          const QuotaTolerance &tolerance,
+                          std::uint64_t version) {
   Tolerance = tolerance;
-  Counter.apply(accounts, tolerance);
+  Version = version;
+  Counter.apply(accounts, tolerance, version);
   std::map<AccountName, Account> next;
   for (const auto &it : accounts.accounts()) {
     if (!it.Quota)
@@ -371,6 +402,7 @@
   useHere(account.Partition);
   auto least = mayExceed(name, account) ? 1.0 : 0.0;
   auto grant = Counter.handle({name, 0, 1}, least);
+  ++(grant.Granted == 1 ? account.Tally.Granted : account.Tally.Refused);
   if (grant.Granted == 1)
     return {};
   return {false, refusalTime(grant.Wait)};
@@ -396,9 +428,11 @@
     return QuotaDecision{};
   auto &it = found->second;
   auto now = Time.now();
-  if (now < it.RefusedUntil)
+  if (now < it.RefusedUntil) {
+    ++it.Tally.Refused;
     return QuotaDecision{
         false, std::chrono::ceil<milliseconds>(it.RefusedUntil - now)};
+  }
   auto counter = counterFor(it);
   if (counter.empty())
     return decideHere(account, it);
@@ -406,11 +440,15 @@
   if (counter == Self) {
     useHere(it.Partition);
     auto grant = Counter.handle({account, 0, 1});
-    if (grant.Granted == 1)
+    if (grant.Granted == 1) {
+      ++it.Tally.Granted;
       return QuotaDecision{};
+    }
     auto wait = refusalTime(grant.Wait);
-    if (!refuse(it, Self, wait))
+    if (!refuse(it, Self, wait)) {
+      ++it.Tally.Refused;
       return QuotaDecision{false, wait};
+    }
     counter = counterFor(it);
     mode = QuotaMode::Ask;
   }
@@ -418,17 +456,41 @@
   if (link.Due.empty())
     link.NextReport = now + limits::ReportDelay;
   link.Due.insert(account);
-  if (mode == QuotaMode::Ask)
+  if (mode == QuotaMode::Ask) {
     it.Asking.push_back(std::move(done));
-  else
+  } else {
     ++it.Unreported;
+    ++it.Tally.Unasked;
+  }
   if (mode != QuotaMode::Report && !link.Reporting)
     report(counter, link);
   return mode == QuotaMode::Ask ? std::nullopt : std::optional(QuotaDecision{});
 }
 
+void AccountQuotas::logUse() {
+  for (auto &[name, it] : Accounts) {
+    auto tally = std::exchange(it.Tally, {});
+    if (tally.Refused == 0)
+      continue;
+    telemetry::log(Event::AccountUsed,
+                   {field("account", name.Value), field("version", Version),
+                    field("counter", counterFor(it).Value),
+                    field("mode", static_cast<int>(modeOf(it))),
+                    field("unasked", tally.Unasked),
+                    field("granted", tally.Granted),
+                    field("refused", tally.Refused),
+                    field("unreported", it.Unreported + it.Sent),
+                    field("daemons", Registered.size())});
+  }
+}
+
 void AccountQuotas::tick() {
   auto now = Time.now();
+  if (now >= NextUseLine) {
+    NextUseLine = now + limits::UseLineInterval;
+    Counter.logUse();
+    logUse();
+  }
   for (const auto &[partition, candidates] : Candidates)
     if (auto vm = delegateTo(partition); vm.empty() || vm == Self)
       useHere(partition);
@@ -542,6 +604,11 @@
       decided = granted;
       reportAgain(name);
     }
+    it = Accounts.find(name);
+    if (it != Accounts.end()) {
+      it->second.Tally.Granted += static_cast<std::uint32_t>(granted);
+      it->second.Tally.Refused += static_cast<std::uint32_t>(decided - granted);
+    }
   }
   for (std::size_t n = 0; n < decided; ++n)
     asking[n](n < granted ? QuotaDecision{} : QuotaDecision{false, wait});
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -65,6 +65,8 @@
 inline constexpr double ExcessWithoutCounter = 0.25;
 /// Time for which a mode holds after the counter named it.
 inline constexpr milliseconds ModeAge{5'000};
+/// Interval of the lines that tell what was granted to an account at its limit.
+inline constexpr milliseconds UseLineInterval{1'000};
 /// Bounds of the time for which an account without operations left is refused
 /// here without another question.
 inline constexpr milliseconds MinRefusal{20};
@@ -80,6 +82,16 @@
 };
 using OnQuotaDecision = std::function<void(QuotaDecision)>;
 
+/// What was decided on an account's operations since the last line about it.
+struct UseTally {
+  std::uint32_t Unasked = 0; ///< Run here before they were counted.
+  std::uint32_t Reported = 0;
+  std::uint32_t Granted = 0;
+  std::uint32_t Refused = 0;
+
+  auto operator<=>(const UseTally &) const = default;
+};
+
 class QuotaPort {
 public:
   virtual ~QuotaPort() = default;
@@ -114,22 +126,28 @@
   QuotaCounter(quota::ShareCounter &shares, const Clock &clock)
       : Shares(shares), Time(clock) {}
 
-  void apply(const AccountTable &accounts, const QuotaTolerance &tolerance);
+  /// \param version of the configuration with the accounts.
+  void apply(const AccountTable &accounts, const QuotaTolerance &tolerance,
+             std::uint64_t version);
   /// Counts an account's use. An account without a quota gets all it asks for.
   /// \param least operations granted in a window although the shares amount to
   /// fewer.
   messages::AccountGrant handle(const messages::AccountUse &use,
                                 double least = 0);
+  /// Logs what accounts at their limit were granted.
+  void logUse();
 
 private:
   struct Count {
     quota::PacedBucket Bucket;
     std::uint32_t Partition = 0;
+    UseTally Tally{};
   };
 
   quota::ShareCounter &Shares;
   const Clock &Time;
   Duration Window{};
+  std::uint64_t Version = 0;
   std::map<AccountName, Count> Counts;
 };
 
@@ -149,7 +167,9 @@
   AccountQuotas(CallPort &calls, VmName self, const Clock &clock,
                 QuotaProcess process = {});
 
-  void apply(const AccountTable &accounts, const QuotaTolerance &tolerance);
+  /// \param version of the configuration with the accounts.
+  void apply(const AccountTable &accounts, const QuotaTolerance &tolerance,
+             std::uint64_t version);
   void updateMembers(const std::vector<Member> &live);
   /// \param known all daemons in the store's list, also suspected ones.
   void updateRegistered(const std::vector<Member> &known);
@@ -175,6 +195,7 @@
     QuotaMode Mode = QuotaMode::Report;
     TimePoint ModeUntil{};
     TimePoint RefusedUntil{};
+    UseTally Tally;
   };
   /// Another daemon that counts accounts.
   struct Link {
@@ -223,6 +244,8 @@
   bool refuse(Account &account, const VmName &counter, milliseconds wait);
   QuotaMode modeOf(const Account &account) const;
   QuotaDecision decideHere(const AccountName &name, Account &account);
+  /// Logs what was decided here on accounts at their limit.
+  void logUse();
   /// Reports what is due for the account, or decides it here.
   void reportAgain(const AccountName &name);
   void report(const VmName &vm, Link &link);
@@ -243,6 +266,8 @@
   /// go, and a share that moves to another counter grants nothing for a while.
   std::vector<Member> Members;
   CounterPlan Plan; ///< Unused without accounts.
+  std::uint64_t Version = 0;
+  TimePoint NextUseLine{};
   QuotaTolerance Tolerance;
   QuotaProcess Process;
   std::vector<VmName> Registered;
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -83,6 +83,7 @@
     run.Version = Table.Version;
   }
   run.Serial = ++LastSerial;
+  run.Account = session.Account;
   run.StartedAt = now;
   run.Deadline = now + run.AssignedRoute.StatementLimit;
   run.PrimaryOnly = run.AssignedRoute.Reads == Guarantee::Primary ||
@@ -567,6 +568,7 @@
   countRetry(Metrics, nameOf(why));
   telemetry::log(Event::StatementRetried,
                  {field("request", run.Request.Id),
+                  field("account", run.Account.Value),
                   field("target", run.Target.Value), field("why", nameOf(why)),
                   field("tries", run.Attempts)});
   run.Avoid = run.Target;
--- a/src/quota/paced_bucket.h
+++ b/src/quota/paced_bucket.h
@@ -50,6 +50,7 @@
   void spend(std::uint32_t n) { Level -= n; }
   /// \return how many of \p wanted operations may be run. They are counted.
   std::uint32_t take(std::uint32_t wanted);
+  double level() const { return Level; }
   QuotaMode mode() const;
   /// \return the time until the next operation may be run.
   Duration untilNext() const;
--- a/src/quota/share_delegation.h
+++ b/src/quota/share_delegation.h
@@ -108,6 +108,11 @@
   /// \return the shares of a partition, with the time for which each has been
   /// held since \p since.
   HeldShares shares(std::uint32_t partition, TimePoint since, TimePoint now);
+  /// \return the daemons among which the shares were divided when they were
+  /// last summed.
+  double daemons(std::uint32_t partition) const {
+    return All[partition].Daemons;
+  }
 
 private:
   struct Held {
--- a/tests/proxy/account_quotas_test.cpp
+++ b/tests/proxy/account_quotas_test.cpp
@@ -41,6 +41,7 @@
   std::function<bool(const std::string &, const std::string &)> Cut;
   std::multimap<TimePoint, std::function<void()>> Events;
   std::vector<TimePoint> Ran;
+  std::size_t Callers = 0; ///< Daemons that callers use, the first ones.
   std::size_t Asked = 0;
   std::size_t Refused = 0;
   std::size_t Messages = 0;
@@ -53,7 +54,8 @@
   std::vector<std::unique_ptr<AccountQuotas>> Gone;
   std::uint64_t Starts = 0;
 
-  Fleet(std::size_t n, AccountQuota quota) : Members(testing::membersOf(n)) {
+  Fleet(std::size_t n, AccountQuota quota)
+      : Members(testing::membersOf(n)), Callers(n) {
     for (const auto &it : Members) {
       auto &port = Ports.emplace_back(std::make_unique<Port>());
       port->Net = this;
@@ -74,17 +76,26 @@
     account.Quota = quota;
     Table = AccountTable::make({account}).value();
     for (auto &it : Daemons)
-      it->apply(Table, tolerance);
+      it->apply(Table, tolerance, 1);
   }
   /// Replaces the process; what it was asked and what it knew is lost.
-  void restart(std::size_t n) {
+  /// \param configured whether it has the accounts at once.
+  void restart(std::size_t n, bool configured = true) {
     auto &it = Daemons[n];
     Gone.push_back(std::move(it));
     it = std::make_unique<AccountQuotas>(*Ports[n], Members[n].Vm, Time,
                                          QuotaProcess{++Starts, false});
     it->updateMembers(Members);
     it->updateRegistered(Members);
-    it->apply(Table, Tolerance);
+    if (configured)
+      it->apply(Table, Tolerance, 1);
+  }
+  /// \return the index of the daemon with the address.
+  std::size_t indexOf(const std::string &address) const {
+    for (std::size_t n = 0; n < Members.size(); ++n)
+      if (Members[n].InnerAddress == address)
+        return n;
+    throw std::out_of_range(address);
   }
   /// All daemons learn who is lost.
   void removeLost() {
@@ -128,13 +139,10 @@
     Events.emplace(Time.now() + delay, std::move(run));
   }
   AccountQuotas &daemon(const std::string &address) {
-    for (std::size_t n = 0; n < Members.size(); ++n)
-      if (Members[n].InnerAddress == address)
-        return *Daemons[n];
-    throw std::out_of_range(address);
+    return *Daemons[indexOf(address)];
   }
   void operate() {
-    auto n = Random() % Daemons.size();
+    auto n = Random() % Callers;
     if (Down.contains(Members[n].InnerAddress))
       return;
     ++Asked;
@@ -286,7 +294,7 @@
 TEST_CASE("no account with a quota, no messages are sent") {
   Fleet fleet(75, Large);
   for (auto &it : fleet.Daemons)
-    it->apply(AccountTable(), Tolerance);
+    it->apply(AccountTable(), Tolerance, 1);
   fleet.run(0, seconds(2));
   auto before = fleet.Messages;
   fleet.run(0, seconds(10));
@@ -334,7 +342,7 @@
   ClientAccount account;
   account.Name = AccountName("press");
   account.Quota = Large;
-  daemon.apply(AccountTable::make({account}).value(), Tolerance);
+  daemon.apply(AccountTable::make({account}).value(), Tolerance, 1);
   for (int n = 0; n < 5; ++n)
     daemon.admit(account.Name, [](const QuotaDecision &) {});
   time.advance(proxy::limits::ReportDelay);
--- a/tests/proxy/logs_test.cpp
+++ b/tests/proxy/logs_test.cpp
@@ -134,3 +134,26 @@
   CHECK(Lines.back().Event == "PF5010");
   CHECK(Lines.back().Fields.at("version") == std::to_string(table.Version));
 }
+
+TEST_CASE_FIXTURE(LogFixture, "statement refused for its account's limit, the "
+                              "line names the account") {
+  struct NothingLeft final : QuotaPort {
+    std::optional<QuotaDecision> admit(const AccountName &,
+                                       OnQuotaDecision) override {
+      return QuotaDecision{false, milliseconds(40)};
+    }
+  } quotas;
+  Callers.setQuotas(quotas);
+  ClientAccount account;
+  account.Name = AccountName("press");
+  account.Keys = {digestOf("k1")};
+  auto table = Callers.routes();
+  ++table.Version;
+  table.Accounts = AccountTable::make({account}).value();
+  REQUIRE(Callers.applyRoutes(table));
+  CallerId caller{++LastCaller};
+  Callers.start(caller, DatabaseName("orders"), digestOf("k1"));
+  send(caller, StatementKind::Read, "READ a");
+  CHECK(Lines.back().Event == "PF5002");
+  CHECK(Lines.back().Fields.at("account") == "press");
+}
