--- a/tests/proxy/account_quotas_test.cpp
+++ b/tests/proxy/account_quotas_test.cpp
@@ -492,6 +492,85 @@
   }
 }
 
+// Guards against a counter that grants all it is asked while it has no table of
+// the accounts.
+TEST_CASE("counter restarts and has no configuration yet, the limit is kept") {
+  for (auto quota : {Large, Small}) {
+    for (auto without : {milliseconds(300), milliseconds(2'000)}) {
+      CAPTURE(quota.RatePerSecond);
+      CAPTURE(without);
+      Fleet fleet(75, quota);
+      auto rate = quota.RatePerSecond * 5;
+      fleet.run(rate, seconds(6));
+      auto counter = fleet.indexOf(fleet.counter());
+      fleet.restart(counter, false);
+      fleet.run(rate, without);
+      fleet.Daemons[counter]->apply(fleet.Table, Tolerance, 1);
+      fleet.run(rate, seconds(6));
+      CHECK(fleet.mostInWindow() <= allowed(quota));
+    }
+  }
+}
+
+// Guards against a configuration that reaches the counters last.
+TEST_CASE("account added, its counters have an older configuration, the limit "
+          "is kept") {
+  Fleet fleet(75, Large);
+  auto added = fleet.Table;
+  CounterPlan plan;
+  plan.setMembers(fleet.Members);
+  auto counters = plan.countersOf(fleet.Name);
+  for (auto &it : fleet.Daemons)
+    it->apply(AccountTable(), Tolerance, 1);
+  fleet.run(0, seconds(2));
+  for (std::size_t n = 0; n < fleet.Members.size(); ++n)
+    if (n != fleet.indexOf(counters[0].InnerAddress) &&
+        n != fleet.indexOf(counters[1].InnerAddress))
+      fleet.Daemons[n]->apply(added, Tolerance, 2);
+  fleet.run(Large.RatePerSecond * 5, seconds(2));
+  for (auto &it : fleet.Daemons)
+    it->apply(added, Tolerance, 2);
+  fleet.run(Large.RatePerSecond * 5, seconds(6));
+  CHECK(fleet.mostInWindow() <= allowed(Large));
+}
+
+// Guards against operations that daemons may run uncounted after each start,
+// where the account has just used up its limit.
+TEST_CASE("all daemons that don't count restart at the limit, the limit is "
+          "kept") {
+  for (auto quota : {Large, AccountQuota{400, 400}}) {
+    CAPTURE(quota.RatePerSecond);
+    Fleet fleet(75, quota);
+    CounterPlan plan;
+    plan.setMembers(fleet.Members);
+    std::set<std::string> counting;
+    for (const auto &it : plan.countersOf(fleet.Name))
+      counting.insert(it.InnerAddress);
+    auto rate = quota.RatePerSecond * 6;
+    fleet.run(rate, milliseconds(4'700));
+    for (std::size_t n = 0; n < fleet.Members.size(); ++n)
+      if (!counting.contains(fleet.Members[n].InnerAddress))
+        fleet.restart(n);
+    fleet.run(rate, seconds(6));
+    CHECK(fleet.mostInWindow() <= allowed(quota));
+  }
+}
+
+// Guards against the part of the burst that daemons may run uncounted, where
+// others have just used it up.
+TEST_CASE("few daemons use up the limit, then all run at once, the limit is "
+          "kept") {
+  for (auto quota : {Large, AccountQuota{400, 400}}) {
+    CAPTURE(quota.RatePerSecond);
+    Fleet fleet(75, quota);
+    fleet.Callers = 3;
+    fleet.run(quota.RatePerSecond * 6, milliseconds(4'800));
+    fleet.Callers = fleet.Daemons.size();
+    fleet.run(quota.RatePerSecond * 20, seconds(6));
+    CHECK(fleet.mostInWindow() <= allowed(quota));
+  }
+}
+
 // Guards against two limits for callers that alternate between two counters.
 TEST_CASE("counters lose answers in turn, the limit is kept") {
   for (auto quota : {Large, Small}) {
