Quotas: a counter without a quota for the account grants nothing

What callers saw: an account at its limit got more than it.

Cause: a counter that didn't know an account granted all that it was asked, told the asker to run unasked for 5 s, and forgot what had been reported. That was meant for accounts without a quota, but a daemon answers reports from its start on, before it has its configuration, and one with an older configuration does the same for an account added since. Operations that the other counter refused went there.

Change: a report carries the sender's version. A counter that lacks the account answers that it counted nothing unless its configuration is as new; the asker keeps what it has run, and asks the other counter. One without any configuration says so, and its shares are delegated elsewhere, as after a failure. A daemon of an earlier version, which sends no version, is refused.

Why it works: every operation is granted by a bucket or by a table as new as the asker's. Below the limit at most one in 200 is refused while a counter starts, and a fleet that gets its configurations one by one goes on at once (two more tests).

--- a/src/messages/quota.cpp
+++ b/src/messages/quota.cpp
@@ -68,6 +68,7 @@
   }
   if (it.Delegated)
     toProto(out.mutable_delegation(), *it.Delegated);
+  out.set_version(it.Version);
   return out.SerializeAsString();
 }
 
@@ -81,10 +82,12 @@
     *next->mutable_granted_by_priority() = toProto(grant.GrantedByPriority);
     next->set_asked_rate(grant.AskedRate);
     next->set_granted_rate(grant.GrantedRate);
+    next->set_uncounted(grant.Uncounted);
   }
   if (it.Next)
     toProto(out.mutable_challenge(), *it.Next);
   *out.mutable_released() = toProto(it.Released);
+  out.set_unconfigured(it.Unconfigured);
   return out.SerializeAsString();
 }
 
@@ -102,6 +105,7 @@
   if (in.has_delegation() &&
       !fromProto(in.delegation(), out.Delegated.emplace()))
     return malformed();
+  out.Version = in.version();
   return out;
 }
 
@@ -116,6 +120,7 @@
                      fromMicros(it.wait_us())});
     next.AskedRate = it.asked_rate();
     next.GrantedRate = it.granted_rate();
+    next.Uncounted = it.uncounted();
     if (next.Mode > QuotaMode::Ask || !isRate(next.AskedRate) ||
         !isRate(next.GrantedRate) ||
         !fromProto(it.granted_by_priority(), next.GrantedByPriority))
@@ -125,6 +130,7 @@
     out.Next = fromProto(in.challenge());
   if (!fromProto(in.released(), out.Released))
     return malformed();
+  out.Unconfigured = in.unconfigured();
   return out;
 }
 
--- a/src/messages/quota.h
+++ b/src/messages/quota.h
@@ -57,6 +57,8 @@
   std::vector<AccountUse> Uses;
   /// Empty: from a daemon of an earlier version.
   std::optional<Delegation> Delegated{};
+  /// Of the sender's configuration; 0: from a daemon of an earlier version.
+  std::uint64_t Version = 0;
 
   auto operator<=>(const UseReport &) const = default;
 };
@@ -68,6 +70,9 @@
   std::vector<std::uint32_t> GrantedByPriority{}; ///< Sums to Granted.
   double AskedRate = 0;   ///< Recent operations a second over all daemons.
   double GrantedRate = 0; ///< Of these, granted.
+  /// Nothing was counted: the daemon has no quota for the account, and its
+  /// configuration is older than the sender's.
+  bool Uncounted = false;
 
   auto operator<=>(const AccountGrant &) const = default;
 };
@@ -79,6 +84,7 @@
   /// version, to which nothing can be delegated.
   std::optional<Challenge> Next{};
   std::vector<std::uint32_t> Released{}; ///< Partitions no longer held.
+  bool Unconfigured = false; ///< The daemon can't count any account yet.
 
   auto operator<=>(const UseAnswer &) const = default;
 };
--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -97,14 +97,19 @@
 }
 
 messages::AccountGrant QuotaCounter::handle(const messages::AccountUse &use,
+                                            std::uint64_t version,
                                             double least) {
   auto it = Counts.find(use.Account);
   if (it == Counts.end()) {
+    if (isConfigured() && version != 0 && Version >= version)
+      return {use.Asked, QuotaMode::Report, {}};
     telemetry::log(Event::AccountUncounted,
                    {field("account", use.Account.Value),
                     field("version", Version), field("reported", use.Run),
                     field("asked", use.Asked)});
-    return {use.Asked, QuotaMode::Report, {}};
+    messages::AccountGrant none{0, QuotaMode::Ask, limits::MaxRefusal};
+    none.Uncounted = true;
+    return none;
   }
   auto now = Time.now();
   auto &[bucket, partition, tally] = it->second;
@@ -401,7 +406,7 @@
                                         Account &account) {
   useHere(account.Partition);
   auto least = mayExceed(name, account) ? 1.0 : 0.0;
-  auto grant = Counter.handle({name, 0, 1}, least);
+  auto grant = Counter.handle({name, 0, 1}, Version, least);
   ++(grant.Granted == 1 ? account.Tally.Granted : account.Tally.Refused);
   if (grant.Granted == 1)
     return {};
@@ -439,7 +444,7 @@
   auto mode = modeOf(it);
   if (counter == Self) {
     useHere(it.Partition);
-    auto grant = Counter.handle({account, 0, 1});
+    auto grant = Counter.handle({account, 0, 1}, Version);
     if (grant.Granted == 1) {
       ++it.Tally.Granted;
       return QuotaDecision{};
@@ -509,6 +514,7 @@
 void AccountQuotas::report(const VmName &vm, Link &link) {
   SentReport sent;
   messages::UseReport message;
+  message.Version = Version;
   for (const auto &name : std::exchange(link.Due, {})) {
     auto found = Accounts.find(name);
     if (found == Accounts.end())
@@ -547,6 +553,8 @@
     auto now = Time.now();
     if (!valid)
       link->second.FailedUntil = now + limits::CounterPause;
+    else if (answer.value().Unconfigured)
+      link->second.FailedUntil = now + limits::UnconfiguredPause;
     else
       link->second.FailedUntil = std::min(link->second.FailedUntil, now);
     // A daemon of an earlier version holds no shares.
@@ -561,9 +569,13 @@
   Own.handleAnswer(vm, answer.value(), Time.now());
   if (sent.ReleasesAll && answer.value().Next)
     handleRelease(vm);
-  for (std::size_t n = 0; n < sent.Uses.size(); ++n)
-    handleGrant(vm, sent.Uses[n].Account, answer.value().Grants[n],
-                sent.Uses[n].Asking);
+  for (std::size_t n = 0; n < sent.Uses.size(); ++n) {
+    const auto &grant = answer.value().Grants[n];
+    if (grant.Uncounted)
+      handleUncounted(vm, sent.Uses[n]);
+    else
+      handleGrant(vm, sent.Uses[n].Account, grant, sent.Uses[n].Asking);
+  }
   // Operations may have asked while the report was under way.
   link = Links.find(vm);
   if (link == Links.end() || link->second.Reporting)
@@ -614,25 +626,35 @@
     asking[n](n < granted ? QuotaDecision{} : QuotaDecision{false, wait});
 }
 
+void AccountQuotas::handleUncounted(const VmName &counter, const SentUse &use) {
+  auto it = Accounts.find(use.Account);
+  if (it != Accounts.end())
+    it->second.Refused[counter] = Time.now() + limits::MaxRefusal;
+  restore(use);
+}
+
 /// Whether the counter has counted the report is unknown. It is sent again: an
 /// account that is counted twice gets less for a moment, never more.
 void AccountQuotas::handleNoAnswer(const SentReport &sent) {
-  for (const auto &use : sent.Uses) {
-    auto found = Accounts.find(use.Account);
-    if (found == Accounts.end()) {
-      for (const auto &done : use.Asking)
-        done({});
-      continue;
-    }
-    auto &it = found->second;
-    // In a network partition nothing may run unasked.
-    it.Mode = QuotaMode::Ask;
-    it.ModeUntil = Time.now() + limits::ModeAge;
-    ++it.Unanswered;
-    it.Unreported += use.Run;
-    it.Asking.insert(it.Asking.end(), use.Asking.begin(), use.Asking.end());
-    reportAgain(use.Account);
+  for (const auto &use : sent.Uses)
+    restore(use);
+}
+
+void AccountQuotas::restore(const SentUse &use) {
+  auto found = Accounts.find(use.Account);
+  if (found == Accounts.end()) {
+    for (const auto &done : use.Asking)
+      done({});
+    return;
   }
+  auto &it = found->second;
+  // In a network partition nothing may run unasked.
+  it.Mode = QuotaMode::Ask;
+  it.ModeUntil = Time.now() + limits::ModeAge;
+  ++it.Unanswered;
+  it.Unreported += use.Run;
+  it.Asking.insert(it.Asking.end(), use.Asking.begin(), use.Asking.end());
+  reportAgain(use.Account);
 }
 
 void AccountQuotas::reportAgain(const AccountName &name) {
@@ -653,7 +675,8 @@
   auto asking = std::exchange(it.Asking, {});
   if (counter == Self) {
     auto grant = Counter.handle({name, std::exchange(it.Unreported, 0),
-                                 static_cast<std::uint32_t>(asking.size())});
+                                 static_cast<std::uint32_t>(asking.size())},
+                                Version);
     handleGrant(Self, name, grant, std::move(asking));
     return;
   }
@@ -680,7 +703,8 @@
     answer.Next = Delegated.issueChallenge(Time.now());
   }
   for (const auto &it : message.value().Uses)
-    answer.Grants.push_back(Counter.handle(it));
+    answer.Grants.push_back(Counter.handle(it, message.value().Version));
+  answer.Unconfigured = !Counter.isConfigured();
   respond({http::StatusOk, {}, messages::encode(answer)});
   return true;
 }
--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -47,6 +47,9 @@
 inline constexpr milliseconds ReportTimeout{100};
 /// Time for which a counter that did not answer is not called.
 inline constexpr milliseconds CounterPause{1'000};
+/// Time for which a counter that has no configuration yet is not called. A
+/// daemon that starts has one soon.
+inline constexpr milliseconds UnconfiguredPause{100};
 /// Interval of the reports that renew delegations. One of them may be lost
 /// before a delegation ends.
 inline constexpr milliseconds RenewalPause{400};
@@ -129,11 +132,13 @@
   /// \param version of the configuration with the accounts.
   void apply(const AccountTable &accounts, const QuotaTolerance &tolerance,
              std::uint64_t version);
-  /// Counts an account's use. An account without a quota gets all it asks for.
-  /// \param least operations granted in a window although the shares amount to
-  /// fewer.
+  /// Counts an account's use. An account that has no quota by a configuration
+  /// as new as the sender's gets all it asks for. \param version of the
+  /// sender's configuration. \param least operations granted in a window
+  /// although the shares amount to fewer.
   messages::AccountGrant handle(const messages::AccountUse &use,
-                                double least = 0);
+                                std::uint64_t version, double least = 0);
+  bool isConfigured() const { return Version != 0; }
   /// Logs what accounts at their limit were granted.
   void logUse();
 
@@ -254,7 +259,11 @@
   void handleGrant(const VmName &counter, const AccountName &name,
                    const messages::AccountGrant &grant,
                    std::vector<OnQuotaDecision> asking);
+  /// \param counter which of the operations were not counted by.
+  void handleUncounted(const VmName &counter, const SentUse &use);
   void handleNoAnswer(const SentReport &sent);
+  /// Returns operations that no counter has counted, to be reported again.
+  void restore(const SentUse &use);
 
   CallPort &Calls;
   VmName Self;
--- a/tests/proxy/account_quotas_test.cpp
+++ b/tests/proxy/account_quotas_test.cpp
@@ -512,6 +512,45 @@
   }
 }
 
+// Guards against refusals because of a counter that can't count yet.
+TEST_CASE("counter restarts below the limit and has no configuration yet, "
+          "hardly anything is refused") {
+  for (auto quota : {Large, Small}) {
+    CAPTURE(quota.RatePerSecond);
+    Fleet fleet(75, quota);
+    auto rate = quota.RatePerSecond * 0.9;
+    fleet.run(rate, seconds(6));
+    auto counter = fleet.indexOf(fleet.counter());
+    fleet.restart(counter, false);
+    fleet.run(rate, milliseconds(500));
+    fleet.Daemons[counter]->apply(fleet.Table, Tolerance, 1);
+    fleet.run(rate, seconds(50));
+    CAPTURE(fleet.Refused);
+    CHECK(fleet.Refused * 200 <= fleet.Asked);
+  }
+}
+
+// Guards against a fleet that has restarted and waits long for counters that
+// had no configuration when they were first asked.
+TEST_CASE("all daemons restart and get their configurations one by one, "
+          "operations go on") {
+  Fleet fleet(75, Large);
+  auto rate = Large.RatePerSecond * 0.6;
+  fleet.run(rate, seconds(5));
+  for (std::size_t n = 0; n < fleet.Members.size(); ++n)
+    fleet.restart(n, false);
+  fleet.Callers = 0;
+  for (auto &it : fleet.Daemons) {
+    it->apply(fleet.Table, Tolerance, 1);
+    ++fleet.Callers;
+    fleet.run(rate, milliseconds(7));
+  }
+  fleet.run(rate, milliseconds(500));
+  fleet.Ran.clear();
+  fleet.run(rate, seconds(2));
+  CHECK(static_cast<double>(fleet.Ran.size()) >= rate * 2 * 0.9);
+}
+
 // Guards against a configuration that reaches the counters last.
 TEST_CASE("account added, its counters have an older configuration, the limit "
           "is kept") {
--- a/tests/proxy/quota_message_test.cpp
+++ b/tests/proxy/quota_message_test.cpp
@@ -12,6 +12,7 @@
   CHECK(decodeUseReport(encode(report)).value() == report);
   report.Delegated =
       Delegation{VmName("vm-1"), 1'700, 77, Challenge{5, 9}, {0, 15}, {3}};
+  report.Version = 12;
   CHECK(decodeUseReport(encode(report)).value() == report);
   UseAnswer answer{{{2, QuotaMode::Ask, std::chrono::milliseconds(40)}}};
   answer.Grants[0].GrantedByPriority = {1, 1};
@@ -20,6 +21,8 @@
   CHECK(decodeUseAnswer(encode(answer)).value() == answer);
   answer.Next = Challenge{6, 7};
   answer.Released = {3};
+  answer.Grants[0].Uncounted = true;
+  answer.Unconfigured = true;
   CHECK(decodeUseAnswer(encode(answer)).value() == answer);
 }
 
