Sessions: each copy of a statement that a target may run is counted

What callers saw: an account at its limit got more than it.

Cause: an operation was counted once, before its first copy was sent. A read that a target had run and failed, or that was not answered, was sent again, up to four times, and a late read got a second copy; none of these was counted. Likewise a read sent behind the begin that proves the primary's leadership, when only the begin is refused.

Change: a run remembers whether a copy may have run. Before it is placed again it needs another grant, and a late read asks for one before its second copy. Retries after answers that promise that nothing ran keep theirs.

Why it works: each arrival at a target has a grant of its own, so the bound on the grants is one on the arrivals. An account below its limit notices a question.

--- a/src/proxy/hedged_reads.cpp
+++ b/src/proxy/hedged_reads.cpp
@@ -13,16 +13,37 @@
   if (!run.Demand || run.Hedged || !group ||
       !Hedges.mayHedge(now - run.SentAt, group->BusyAt, now))
     return;
+  if (chooseHedge(run, *group).empty())
+    return;
+  run.Hedged = true;
+  Hedges.spend();
+  admitOperation(session, &Sessions::handleHedgeAdmission);
+}
+
+TargetName Sessions::chooseHedge(const StatementRun &run, Group &group) {
+  auto now = Time.now();
   auto demand = *run.Demand;
   demand.Avoid = run.Target;
-  auto choice = group->ReadPlacement.choose(demand, Targets.candidates(*group),
-                                            true, now);
+  auto choice =
+      group.ReadPlacement.choose(demand, Targets.candidates(group), true, now);
   // Placement falls back to targets that it avoids; none is worth a copy.
-  if (choice.Target.empty() || choice.Target == run.Target ||
+  if (choice.Target == run.Target ||
       choice.WaitBefore > limits::NegligibleWait ||
-      group->ReadPlacement.ejected(choice.Target, now))
+      group.ReadPlacement.ejected(choice.Target, now))
+    return {};
+  return choice.Target;
+}
+
+void Sessions::handleHedgeAdmission(Session &session,
+                                    const QuotaDecision &decision) {
+  auto &run = *session.Current;
+  auto *group = Targets.find(run.AssignedRoute.Group);
+  // The first copy may have ended while the question was under way.
+  if (!decision.Run || !run.InFlight || run.Hedge || !run.Demand || !group)
     return;
-  sendHedge(session, *group, choice.Target);
+  auto target = chooseHedge(run, *group);
+  if (!target.empty())
+    sendHedge(session, *group, target);
 }
 
 void Sessions::sendHedge(Session &session, Group &group,
@@ -31,8 +52,6 @@
   auto now = Time.now();
   if (run.Deadline - now < minAttemptTimeOf(run))
     return;
-  run.Hedged = true;
-  Hedges.spend();
   Metrics.HedgesSent->Increment();
   group.ReadPlacement.started(target);
   ReadCopy copy;
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -133,6 +133,8 @@
     /// Attempts refused as busy, where waits follow from the time left.
     unsigned BusyRefusals = 0;
     bool PrimaryOnly = false;
+    /// A copy may have run at a target since the last admission.
+    bool MayHaveRun = false;
     bool InFlight = false;          ///< Counted as running at its target.
     bool Parked = false;            ///< Waiting for a primary.
     std::optional<TimePoint> RunAt; ///< Waiting for a replica or a slot.
@@ -190,8 +192,9 @@
   void prepare(Session &session, const Statement &it);
 
   void beginRun(Session &session, Statement it);
-  /// Asks whether the account may run another operation, and then proceeds.
-  void admitOperation(Session &session);
+  using AdmissionHandler = void (Sessions::*)(Session &, const QuotaDecision &);
+  /// Asks whether the account may run another operation.
+  void admitOperation(Session &session, AdmissionHandler then);
   void handleAdmission(Session &session, const QuotaDecision &decision);
   /// Continues a session's statement, unless its account has changed.
   void proceed(Session &session);
@@ -246,6 +249,9 @@
                            Duration wait) const;
   /// Sends a second copy of a read that is not answered in the usual time.
   void hedgeIfLate(Session &session, TimePoint now);
+  /// \return where a second copy of the read may run; empty if nowhere.
+  TargetName chooseHedge(const StatementRun &run, Group &group);
+  void handleHedgeAdmission(Session &session, const QuotaDecision &decision);
   void sendHedge(Session &session, Group &group, const TargetName &target);
   void handleHedgeResult(Session &session, const BatchResult &result);
   /// Exchanges a read's two copies.
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -45,6 +45,20 @@
          result.Answers[0].ok();
 }
 
+/// \return whether the caller's statement may have run at the target, alone or
+/// behind a statement of the proxy that failed.
+bool mayHaveRun(const Batch &sent, const BatchResult &result) {
+  auto own = std::find_if(sent.Statements.begin(), sent.Statements.end(),
+                          [](const Statement &it) { return !it.Id.empty(); });
+  if (own == sent.Statements.end() || result.End == BatchEnd::NotRun)
+    return false;
+  auto n = static_cast<std::size_t>(own - sent.Statements.begin());
+  if (n >= result.Answers.size())
+    return true;
+  const auto &answer = result.Answers[n];
+  return answer.ok() || !hasNotRun(answer.Error->Kind);
+}
+
 /// \return when the queue that refused the batch may have room; empty if it was
 /// not refused for load.
 std::optional<milliseconds> queueRetryAfter(const BatchResult &result) {
@@ -94,22 +108,22 @@
   if (inTransaction && session.Open.Lease.valid())
     proceed(session);
   else
-    admitOperation(session);
+    admitOperation(session, &Sessions::handleAdmission);
 }
 
-void Sessions::admitOperation(Session &session) {
+void Sessions::admitOperation(Session &session, AdmissionHandler then) {
   if (!Quotas) {
-    proceed(session);
+    (this->*then)(session, {});
     return;
   }
-  auto later = [this, id = session.Id, serial = session.Current->Serial](
+  auto later = [this, then, id = session.Id, serial = session.Current->Serial](
                    const QuotaDecision &decision) {
     auto *it = find(id);
     if (it && it->Current && it->Current->Serial == serial)
-      handleAdmission(*it, decision);
+      (this->*then)(*it, decision);
   };
   if (auto decision = Quotas->admit(session.Account, later))
-    handleAdmission(session, *decision);
+    (this->*then)(session, *decision);
 }
 
 void Sessions::handleAdmission(Session &session,
@@ -145,6 +159,12 @@
   auto &run = *session.Current;
   run.Parked = false;
   run.RunAt.reset();
+  // Each copy that a target may run counts as an operation.
+  if (run.MayHaveRun) {
+    run.MayHaveRun = false;
+    admitOperation(session, &Sessions::handleAdmission);
+    return;
+  }
   auto *group = Targets.markUsed(run.AssignedRoute.Group);
   if (!group || group->Targets.empty()) {
     park(session);
@@ -400,6 +420,7 @@
 void Sessions::handleFirstResult(Session &session, const BatchResult &result) {
   auto &run = *session.Current;
   run.InFlight = false;
+  run.MayHaveRun = run.MayHaveRun || mayHaveRun(run.Sent, result);
   if (auto *group = Targets.find(run.AssignedRoute.Group))
     report(run, *group, result);
   if (run.Hedge && !isSuccess(result)) {
--- a/tests/proxy/counted_copies_test.cpp
+++ b/tests/proxy/counted_copies_test.cpp
@@ -1,5 +1,7 @@
 #include "fixture.h"
 
+#include <algorithm>
+
 using namespace peridotfall;
 using namespace peridotfall::proxy;
 
@@ -49,7 +51,16 @@
     REQUIRE(busyAt(out));
     return out;
   }
-  bool isRunning() { return busyAt("p") || busyAt("r") || busyAt("s"); }
+  /// \return how often the read was sent to a target.
+  std::size_t copies() const {
+    auto id = "q" + std::to_string(LastRequest);
+    std::size_t n = 0;
+    for (const auto &[connection, it] : Links.Connections)
+      n += static_cast<std::size_t>(
+          std::count_if(it.Seen.begin(), it.Seen.end(),
+                        [&](const Statement &seen) { return seen.Id == id; }));
+    return n;
+  }
   void fail(const std::string &target, ErrorKind kind) {
     answer(*busyAt(target.c_str()), failure(kind, TransactionState::Idle));
     completeHandshakes();
@@ -74,7 +85,7 @@
                   "read failed at a target, retry, is counted again") {
   auto target = read();
   fail(target, ErrorKind::Failed);
-  CHECK(isRunning());
+  CHECK(copies() == 2);
   CHECK(Quotas.Asked == 2);
 }
 
@@ -83,7 +94,7 @@
   Quotas.Most = 1;
   auto target = read();
   fail(target, ErrorKind::Failed);
-  CHECK_FALSE(isRunning());
+  CHECK(copies() == 1);
   CHECK(last(Caller).Error->Kind == ErrorKind::Busy);
 }
 
@@ -92,18 +103,34 @@
                   "again") {
   Quotas.Most = 1;
   auto silent = read();
-  pass(milliseconds(780));
-  completeHandshakes();
-  CHECK_FALSE(isRunning());
+  passServing(milliseconds(780));
+  CHECK(copies() == 1);
   CHECK(last(Caller).Error->Kind == ErrorKind::Busy);
 }
 
+// Guards against a read that a former primary runs, behind the begin of a
+// transaction that it refuses.
+TEST_CASE_FIXTURE(CountedCopies, "read behind a refused begin, retry, is "
+                                 "counted again") {
+  Caller = session("orders");
+  send(Caller, StatementKind::Read, "READ a");
+  completeHandshakes();
+  auto connection = *busyAt("p");
+  answer(connection, failure(ErrorKind::ReadOnly, TransactionState::Idle));
+  const auto &next = Links.Connections.at(connection).Unanswered.front();
+  answer(connection, success(next, TransactionState::Idle));
+  answer(connection, failure(ErrorKind::Malformed, TransactionState::Idle));
+  passServing(milliseconds(200));
+  CHECK(copies() == 2);
+  CHECK(Quotas.Asked == 2);
+}
+
 // Guards against a limit that is used up by statements that did not run.
 TEST_CASE_FIXTURE(CountedCopies,
                   "read refused by a target, retry, is not counted again") {
   auto target = read();
   fail(target, ErrorKind::Lagging);
-  CHECK(isRunning());
+  CHECK(copies() == 2);
   CHECK(Quotas.Asked == 1);
 }
 
@@ -135,5 +162,5 @@
   serve(target.c_str(), TransactionState::Idle);
   Quotas.answer();
   CHECK(last(Caller).ok());
-  CHECK_FALSE(isRunning());
+  CHECK(copies() == 1);
 }
