Quotas: a share released and delegated again is held at once

What callers saw: after a restart of many VMs, accounts refused for up to 0.4 s longer than their shares were on the way.

Cause: a counter ignores delegations that echo a challenge not newer than the release of the share. The challenge in the answer that confirms the release was issued in the same microsecond, so the first delegation after a release was ignored, while its daemon took it for valid and repeated it only after 0.4 s. Besides, a daemon whose predecessor's shares were released waited for its next renewal.

Evidence: the unit test fails before.

Change: a challenge is newer than the last release, and a daemon whose shares get usable renews at once.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -596,7 +596,10 @@
     for (const auto &vm : candidates)
       if (vm != Self && !Released.contains(vm))
         return;
-  Own.setUsable(Time.now());
+  auto now = Time.now();
+  Own.setUsable(now);
+  for (auto &[vm, link] : Links)
+    link.NextRenewal = now;
 }
 
 void AccountQuotas::handleGrant(const VmName &counter, const AccountName &name,
--- a/src/quota/share_delegation.cpp
+++ b/src/quota/share_delegation.cpp
@@ -130,7 +130,9 @@
 }
 
 messages::Challenge ShareCounter::issueChallenge(TimePoint now) const {
-  return {Incarnation, microsOf(now)};
+  // The challenge that confirms a release is later than the release, also
+  // within a microsecond: the share may be delegated with it again.
+  return {Incarnation, std::max(microsOf(now), LastReleaseMicros + 1)};
 }
 
 std::vector<std::uint32_t> ShareCounter::handle(const messages::Delegation &it,
@@ -144,6 +146,7 @@
     // A report sent before the release may arrive after it.
     held.Until = now;
     held.ReleasedMicros = nowMicros;
+    LastReleaseMicros = nowMicros;
     All[n].SumUntil = {};
     released.push_back(n);
   }
--- a/src/quota/share_delegation.h
+++ b/src/quota/share_delegation.h
@@ -133,6 +133,7 @@
   void sum(Partition &it, TimePoint now) const;
 
   std::uint64_t Incarnation;
+  std::uint64_t LastReleaseMicros = 0;
   std::uint32_t OwnDaemons = 0;
   std::array<Partition, limits::Partitions> All;
 };
--- a/tests/quota/share_delegation_test.cpp
+++ b/tests/quota/share_delegation_test.cpp
@@ -333,3 +333,24 @@
     CHECK(counter.shares(Part, time.now(), time.now()).Now == 0);
   }
 }
+
+// Guards against shares that are out of use for a renewal's time after they
+// were released and delegated again.
+TEST_CASE("share released, delegated with the challenge that confirms it, is "
+          "held") {
+  ManualClock time;
+  ShareCounter counter(1);
+  counter.setDaemons(2);
+  messages::Delegation it;
+  it.Vm = VmName("other");
+  it.Daemons = 2;
+  it.Released = {Part};
+  counter.handle(it, time.now());
+  it.LastChallenge = counter.issueChallenge(time.now());
+  it.Released.clear();
+  it.Partitions = {Part};
+  time.advance(milliseconds(1));
+  counter.handle(it, time.now());
+  CHECK(counter.shares(Part, time.now(), time.now()).Now ==
+        doctest::Approx(0.5));
+}
