Sessions: a grant holds for the account that it was asked for

What callers saw: nothing yet; found while looking for other operations without a grant of their own.

Cause: when a key moves to another account while an operation waits for its grant, or for a target, the operation ran for the new account by the old one's grant.

Evidence: the test failed before: the statement is sent with a single question, that for the old account.

Change: a statement whose session's account has changed is admitted again.

--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -148,7 +148,12 @@
                 "the key was moved to another account");
     return;
   }
-  session.Current->Account = session.Account;
+  // A grant holds for the account that it was asked for.
+  if (session.Current->Account != session.Account) {
+    session.Current->Account = session.Account;
+    admitOperation(session, &Sessions::handleAdmission);
+    return;
+  }
   if (inTransaction && session.Open.Lease.valid())
     runOnLease(session);
   else
--- a/tests/proxy/accounts_test.cpp
+++ b/tests/proxy/accounts_test.cpp
@@ -133,6 +133,31 @@
   CHECK(refusals[0].starts_with("more waits than runs in time; retry-after"));
 }
 
+// Guards against operations of an account that another account's grants cover.
+TEST_CASE_FIXTURE(AccountsFixture, "key moved while an operation waits for a "
+                                   "grant, is counted for the new account") {
+  struct LaterQuotas final : QuotaPort {
+    std::vector<std::string> Asked;
+    std::vector<OnQuotaDecision> Waiting;
+    std::optional<QuotaDecision> admit(const AccountName &account,
+                                       OnQuotaDecision done) override {
+      Asked.push_back(account.Value);
+      Waiting.push_back(std::move(done));
+      return std::nullopt;
+    }
+  } quotas;
+  Callers.setQuotas(quotas);
+  auto caller = sessionWith("k1");
+  send(caller, StatementKind::Read, "READ a");
+  apply({account("press", {"k2"}), account("desk", {"k1", "k3"})});
+  quotas.Waiting.at(0)({});
+  completeHandshakes();
+  CHECK_FALSE(busyAt("p"));
+  CHECK(quotas.Asked == std::vector<std::string>{"press", "desk"});
+  quotas.Waiting.at(1)({false, milliseconds(40)});
+  CHECK(last(caller).Error->Kind == ErrorKind::Busy);
+}
+
 TEST_CASE_FIXTURE(AccountsFixture,
                   "session, unknown key or none, is rejected at once") {
   CHECK(isRejected(sessionWith("k9")));
