--- a/tests/proxy/account_quotas_test.cpp
+++ b/tests/proxy/account_quotas_test.cpp
@@ -37,6 +37,7 @@
   std::vector<std::unique_ptr<Port>> Ports;
   std::vector<std::unique_ptr<AccountQuotas>> Daemons;
   std::set<std::string> Down;
+  std::set<std::size_t> Unconfigured;
   /// Whether messages from one address to another are lost.
   std::function<bool(const std::string &, const std::string &)> Cut;
   std::multimap<TimePoint, std::function<void()>> Events;
@@ -80,15 +81,31 @@
   }
   /// Replaces the process; what it was asked and what it knew is lost.
   /// \param configured whether it has the accounts at once.
-  void restart(std::size_t n, bool configured = true) {
+  /// \param fleetStarts whether its settings still say that the fleet starts.
+  void restart(std::size_t n, bool configured = true,
+               bool fleetStarts = false) {
     auto &it = Daemons[n];
     Gone.push_back(std::move(it));
     it = std::make_unique<AccountQuotas>(*Ports[n], Members[n].Vm, Time,
-                                         QuotaProcess{++Starts, false});
+                                         QuotaProcess{++Starts, fleetStarts});
     it->updateMembers(Members);
     it->updateRegistered(Members);
+    Unconfigured.insert(n);
     if (configured)
-      it->apply(Table, Tolerance, 1);
+      configure(n);
+  }
+  void configure(std::size_t n) {
+    Daemons[n]->apply(Table, Tolerance, 1);
+    Unconfigured.erase(n);
+  }
+  /// \return whether the daemon may count the account.
+  bool isCounting(std::size_t n) const {
+    CounterPlan plan;
+    plan.setMembers(Members);
+    auto counters = plan.countersOf(Name);
+    return std::any_of(counters.begin(), counters.end(), [&](const Member &it) {
+      return it.Vm == Members[n].Vm;
+    });
   }
   /// \return the index of the daemon with the address.
   std::size_t indexOf(const std::string &address) const {
@@ -143,7 +160,8 @@
   }
   void operate() {
     auto n = Random() % Callers;
-    if (Down.contains(Members[n].InnerAddress))
+    // A daemon without a configuration has no sessions.
+    if (Down.contains(Members[n].InnerAddress) || Unconfigured.contains(n))
       return;
     ++Asked;
     auto count = [this](const QuotaDecision &it) {
@@ -468,9 +486,7 @@
   fleet.run(rate, seconds(2));
   separateMembers(fleet, 37);
   fleet.run(rate, seconds(1));
-  for (std::size_t n = 0; n < fleet.Members.size(); ++n)
-    if (fleet.Members[n].InnerAddress == fleet.counter())
-      fleet.restart(n);
+  fleet.restart(fleet.indexOf(fleet.counter()));
   fleet.run(rate, seconds(10));
   CHECK(fleet.mostInWindow() <= allowed(Large));
 }
@@ -505,7 +521,7 @@
       auto counter = fleet.indexOf(fleet.counter());
       fleet.restart(counter, false);
       fleet.run(rate, without);
-      fleet.Daemons[counter]->apply(fleet.Table, Tolerance, 1);
+      fleet.configure(counter);
       fleet.run(rate, seconds(6));
       CHECK(fleet.mostInWindow() <= allowed(quota));
     }
@@ -523,7 +539,7 @@
     auto counter = fleet.indexOf(fleet.counter());
     fleet.restart(counter, false);
     fleet.run(rate, milliseconds(500));
-    fleet.Daemons[counter]->apply(fleet.Table, Tolerance, 1);
+    fleet.configure(counter);
     fleet.run(rate, seconds(50));
     CAPTURE(fleet.Refused);
     CHECK(fleet.Refused * 200 <= fleet.Asked);
@@ -539,10 +555,8 @@
   fleet.run(rate, seconds(5));
   for (std::size_t n = 0; n < fleet.Members.size(); ++n)
     fleet.restart(n, false);
-  fleet.Callers = 0;
-  for (auto &it : fleet.Daemons) {
-    it->apply(fleet.Table, Tolerance, 1);
-    ++fleet.Callers;
+  for (std::size_t n = 0; n < fleet.Members.size(); ++n) {
+    fleet.configure(n);
     fleet.run(rate, milliseconds(7));
   }
   fleet.run(rate, milliseconds(500));
@@ -580,36 +594,45 @@
   for (auto quota : {Large, AccountQuota{400, 400}}) {
     CAPTURE(quota.RatePerSecond);
     Fleet fleet(75, quota);
-    CounterPlan plan;
-    plan.setMembers(fleet.Members);
-    std::set<std::string> counting;
-    for (const auto &it : plan.countersOf(fleet.Name))
-      counting.insert(it.InnerAddress);
     auto rate = quota.RatePerSecond * 6;
     fleet.run(rate, milliseconds(4'700));
     for (std::size_t n = 0; n < fleet.Members.size(); ++n)
-      if (!counting.contains(fleet.Members[n].InnerAddress))
+      if (!fleet.isCounting(n))
         fleet.restart(n);
     fleet.run(rate, seconds(6));
     CHECK(fleet.mostInWindow() <= allowed(quota));
   }
 }
 
+// Guards against shares that processes and their predecessors use at once.
+TEST_CASE("all daemons restart with the settings of the fleet's first start, "
+          "the limit is kept") {
+  for (auto quota : {Large, Small}) {
+    CAPTURE(quota.RatePerSecond);
+    Fleet fleet(75, quota);
+    auto rate = quota.RatePerSecond * 6;
+    auto counter = fleet.counter();
+    fleet.Down.insert(counter);
+    fleet.run(rate, seconds(6));
+    fleet.Down.clear();
+    for (std::size_t n = 0; n < fleet.Members.size(); ++n)
+      if (!fleet.isCounting(n))
+        fleet.restart(n, true, true);
+    fleet.run(rate, seconds(6));
+    CHECK(fleet.mostInWindow() <= allowed(quota));
+  }
+}
+
 // Guards against operations that a process runs unasked after each start and
 // reports to nobody before it ends.
 TEST_CASE("daemons end soon after each start at the limit, the limit is kept") {
   AccountQuota quota{400, 400};
   Fleet fleet(30, quota);
-  CounterPlan plan;
-  plan.setMembers(fleet.Members);
-  std::set<std::string> counting;
-  for (const auto &it : plan.countersOf(fleet.Name))
-    counting.insert(it.InnerAddress);
   auto rate = quota.RatePerSecond * 6;
   fleet.run(rate, seconds(5));
   for (int round = 0; round < 25; ++round) {
     for (std::size_t n = 0; n < 12; ++n)
-      if (!counting.contains(fleet.Members[n].InnerAddress))
+      if (!fleet.isCounting(n))
         fleet.restart(n);
     fleet.run(rate, milliseconds(200));
   }
@@ -689,9 +712,7 @@
     fleet.run(rate, seconds(6));
     fleet.Down.insert(fleet.counter());
     fleet.run(rate, seconds(1));
-    for (std::size_t n = 0; n < fleet.Members.size(); ++n)
-      if (fleet.Members[n].InnerAddress == fleet.counter())
-        fleet.restart(n);
+    fleet.restart(fleet.indexOf(fleet.counter()));
     fleet.Down.clear();
     fleet.run(rate, seconds(50));
     CAPTURE(fleet.Refused);
@@ -724,9 +745,14 @@
         joinMembers(fleet);
         break;
       default:
-        for (int n = 0; n < 20; ++n)
-          fleet.restart(anyOf(300));
+        for (int n = 0; n < 20; ++n) {
+          auto restarted = anyOf(300);
+          fleet.restart(restarted, n % 2 == 0);
+        }
       }
+      if (anyOf(2) == 0)
+        while (!fleet.Unconfigured.empty())
+          fleet.configure(*fleet.Unconfigured.begin());
       fleet.run(quota.RatePerSecond * static_cast<double>(1 + anyOf(9)) / 2,
                 milliseconds(200 + anyOf(1'800)));
     }
