--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -73,7 +73,7 @@
             _, request, text = line.split(" ", 2)
             self.group.check_account(request, account)
             if text.split(" ")[0] in ("READ", "WRITE", "EXECUTE", "COMMIT"):
-                await asyncio.sleep(0.002)  # Simulated execution time.
+                await asyncio.sleep(self.group.run_time())
             writer.write(session.run(request, text).encode())
             await writer.drain()
 
@@ -150,6 +150,8 @@
     def _read(self, words):
         if self.state == "T" and self.plain:
             self._lead()
+        if self.target.group.fails_read():
+            raise Refused("FAILED")
         return [self.target.value(words[1])], True
 
     def _write(self, words):
@@ -196,6 +198,8 @@
         self.term = 1
         self.targets = {}
         self.account_of = lambda request: None
+        self.run_time = lambda: 0.002  # Simulated execution time, seconds.
+        self.fails_read = lambda: False
         self.mixed = []  # (request, account of its connection)
 
     def add(self, target):
