--- a/src/proxy/account_quotas.h
+++ b/src/proxy/account_quotas.h
@@ -133,9 +133,10 @@
   void apply(const AccountTable &accounts, const QuotaTolerance &tolerance,
              std::uint64_t version);
   /// Counts an account's use. An account that has no quota by a configuration
-  /// as new as the sender's gets all it asks for. \param version of the
-  /// sender's configuration. \param least operations granted in a window
-  /// although the shares amount to fewer.
+  /// as new as the sender's gets all it asks for.
+  /// \param version of the sender's configuration.
+  /// \param least operations granted in a window although the shares amount to
+  /// fewer.
   messages::AccountGrant handle(const messages::AccountUse &use,
                                 std::uint64_t version, double least = 0);
   bool isConfigured() const { return Version != 0; }
@@ -259,7 +260,7 @@
   void handleGrant(const VmName &counter, const AccountName &name,
                    const messages::AccountGrant &grant,
                    std::vector<OnQuotaDecision> asking);
-  /// \param counter which of the operations were not counted by.
+  /// \param counter that has no quota for the account.
   void handleUncounted(const VmName &counter, const SentUse &use);
   void handleNoAnswer(const SentReport &sent);
   /// Returns operations that no counter has counted, to be reported again.
