--- a/tests/platform/account_limit.py
+++ b/tests/platform/account_limit.py
@@ -96,7 +96,7 @@
                     writer.close()
 
     def most_in_window(self):
-        """The most reads that were both sent and run within a window, further
+        """The most reads that were both sent and arrived within a window, further
         copies included, with the time at which the window began."""
         runs = [(at, self.sent[it]) for at, it in self.arrived if it in self.sent]
         runs.sort()
@@ -115,7 +115,7 @@
 
 
 class CountingGroup(Group):
-    """Notes when a target runs a statement of a caller."""
+    """Notes when a statement of a caller arrives at a target."""
 
     def __init__(self, name, store, load):
         super().__init__(name, store)
