Quotas: the line about an account at its limit names the limit

PF3013 told who counts and by which version, but not the rate and burst that are in force there; with PF5002, which names the account, it now answers why an operation was refused. Log fields only.

--- a/src/proxy/account_quotas.cpp
+++ b/src/proxy/account_quotas.cpp
@@ -477,15 +477,16 @@
     auto tally = std::exchange(it.Tally, {});
     if (tally.Refused == 0)
       continue;
-    telemetry::log(Event::AccountUsed,
-                   {field("account", name.Value), field("version", Version),
-                    field("counter", counterFor(it).Value),
-                    field("mode", static_cast<int>(modeOf(it))),
-                    field("unasked", tally.Unasked),
-                    field("granted", tally.Granted),
-                    field("refused", tally.Refused),
-                    field("unreported", it.Unreported + it.Sent),
-                    field("daemons", Registered.size())});
+    telemetry::log(
+        Event::AccountUsed,
+        {field("account", name.Value), field("version", Version),
+         field("rate", it.Quota.RatePerSecond), field("burst", it.Quota.Burst),
+         field("counter", counterFor(it).Value),
+         field("mode", static_cast<int>(modeOf(it))),
+         field("unasked", tally.Unasked), field("granted", tally.Granted),
+         field("refused", tally.Refused),
+         field("unreported", it.Unreported + it.Sent),
+         field("daemons", Registered.size())});
   }
 }
 
