Platform runs: one start and one readiness check of daemons

account_limit.py had written both again, beside run.py, and computed the daemons' ports in two places. Limits are as they were, 10 s and 30 s. Besides, a daemon that ends by itself now fails account_limit.py also where nothing kills it afterwards.

--- a/tests/platform/account_limit.py
+++ b/tests/platform/account_limit.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 
+import daemons
 from store import Store, serve_http
 from targets import Group, Target
 
@@ -26,8 +27,9 @@
 WINDOW, OVERSHOOT, SLACK = 5.0, 0.1, 20
 RATE, BURST = 60, 60
 LOAD = 6  # Times the limit.
+SESSIONS = 4  # At each daemon.
 KEY = "a-key-of-the-busy-account"
-START_LIMIT = 30.0
+START_LIMIT = 30.0  # Seconds until a daemon is ready.
 
 SETTINGS = """
 node_name: "entry-{n}"
@@ -51,21 +53,20 @@
 class Load:
     """Sends reads of the account at an even rate through all daemons."""
 
-    def __init__(self, ports, seed):
-        self.ports = ports
+    def __init__(self, seed):
         self.random = random.Random(seed)
         self.sent = {}  # Time by request.
         self.arrived = []  # (time, request), as the targets saw them.
         self.served = 0
         self.refused = 0
 
-    async def session(self, number, until):
+    async def session(self, number, ports, until):
         loop = asyncio.get_running_loop()
         count = 0
         while loop.time() < until:
             writer = None
             try:
-                port = self.ports[number % len(self.ports)]
+                port = ports[number % len(ports)]
                 reader, writer = await asyncio.wait_for(
                     asyncio.open_connection("127.0.0.1", port), 1
                 )
@@ -85,7 +86,7 @@
                             raise ConnectionError
                     self.served += ok
                     self.refused += not ok
-                    pause = number_of_sessions(self.ports) / (RATE * LOAD)
+                    pause = SESSIONS * len(ports) / (RATE * LOAD)
                     await asyncio.sleep(self.random.uniform(0, 2 * pause))
                 else:
                     await asyncio.sleep(0.1)
@@ -110,10 +111,6 @@
         return most
 
 
-def number_of_sessions(ports):
-    return 4 * len(ports)
-
-
 class CountingGroup(Group):
     """Notes when a statement of a caller arrives at a target."""
 
@@ -133,6 +130,7 @@
         self.folder = folder
         self.count = count
         self.first_port = first_port
+        self.ports = [first_port + DAEMONS + PORTS * n for n in range(count)]
         self.store = Store()
         self.group = CountingGroup("ledger", self.store, load)
         self.processes = {}
@@ -153,7 +151,9 @@
             self.group.add(target)
         self.put_configuration()
         await asyncio.gather(*(self.launch(n, True) for n in range(self.count)))
-        await asyncio.gather(*(self.until_ready(n) for n in range(self.count)))
+        await asyncio.gather(
+            *(daemons.until_ready(it + 1, START_LIMIT) for it in self.ports)
+        )
 
     def put_configuration(self):
         spec = {
@@ -198,12 +198,9 @@
     async def answer_provider(self, _, __, ___, body):
         return (200, {}) if await self.group.promote(body["id"]) else (409, {})
 
-    def port(self, n):
-        return self.first_port + DAEMONS + PORTS * n
-
     async def launch(self, n, first=False):
         zone = list(ZONES)[n % len(ZONES)]
-        port = self.port(n)
+        port = self.ports[n]
         path = os.path.join(self.folder, f"{n}.yaml")
         with open(path, "w") as file:
             file.write(
@@ -220,43 +217,24 @@
                     first=str(first).lower(),
                 )
             )
-        log = open(os.path.join(self.folder, f"{n}.log"), "a")
-        self.processes[n] = await asyncio.create_subprocess_exec(
-            self.program,
-            "--on_platform",
-            env=dict(os.environ, PERIDOTFALL_CONFIG=path),
-            stdout=log,
-            stderr=log,
-        )
-        log.close()
-
-    async def until_ready(self, n):
-        for _ in range(int(START_LIMIT / 0.05)):
-            try:
-                reader, writer = await asyncio.open_connection(
-                    "127.0.0.1", self.port(n) + 1
-                )
-                writer.write(b"GET /peridotfall/ready HTTP/1.1\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
-                if b" 200 " in line:
-                    return
-            except OSError:
-                pass  # Not listening yet.
-            await asyncio.sleep(0.05)
-        raise RuntimeError(f"daemon {n} does not get ready")
+        with open(os.path.join(self.folder, f"{n}.log"), "a") as log:
+            self.processes[n] = await daemons.start(self.program, path, log)
 
     async def kill(self, n, how=signal.SIGKILL):
         process = self.processes.pop(n)
         process.send_signal(how)
         await process.wait()
 
+    def ended(self):
+        """The daemons that have ended by themselves."""
+        return [
+            n for n, it in self.processes.items() if it.returncode is not None
+        ]
+
     def stop_all(self):
         for process in self.processes.values():
-            try:
+            if process.returncode is None:
                 process.kill()
-            except ProcessLookupError:
-                pass  # It has ended by itself.
 
     def counters(self):
         """The daemons that were asked to count, by their log lines."""
@@ -387,8 +365,7 @@
 async def main(program, seconds, seed, count, first_port, scenario):
     loop = asyncio.get_running_loop()
     with tempfile.TemporaryDirectory() as folder:
-        ports = [first_port + DAEMONS + PORTS * n for n in range(count)]
-        load = Load(ports, seed)
+        load = Load(seed)
         world = World(program, folder, count, load, first_port)
         faults = Faults(world, seed)
         try:
@@ -396,11 +373,13 @@
             begin = loop.time()
             until = begin + seconds
             sessions = [
-                load.session(n, until) for n in range(number_of_sessions(ports))
+                load.session(n, world.ports, until)
+                for n in range(SESSIONS * count)
             ]
             await asyncio.gather(
                 getattr(faults, scenario)(until - min(5, seconds / 3)), *sessions
             )
+            ended = world.ended()
         finally:
             world.stop_all()
         most, at = load.most_in_window()
@@ -410,7 +389,9 @@
             f"{load.refused} refused, {copies} further copies; at most {most} "
             f"in a window, {allowed():.0f} allowed"
         )
-        if most > allowed() or not load.served:
+        if ended:
+            print(f"ended by themselves: {ended}")
+        if most > allowed() or ended or not load.served:
             print(f"the window begins {at - begin:.2f} s after the load")
             print("\n".join(faults.lines))
             keep = os.environ.get("PERIDOTFALL_KEEP_LOGS")
--- a/tests/platform/run.py
+++ b/tests/platform/run.py
@@ -16,6 +16,7 @@
 import tempfile
 import termios
 
+import daemons
 from store import Store, serve_http
 from targets import Group, Target
 
@@ -29,6 +30,7 @@
 NOT_RUN = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
 CALLERS = 9
 KEY_REMOVED = "AUTHFAIL"
+START_LIMIT = 10.0  # Seconds until a daemon is ready.
 CONFIGURATION_LIMIT = 3.0  # Seconds until a configuration is in force.
 
 SETTINGS = """
@@ -319,15 +321,9 @@
                 )
             )
         log = self.open_log(zone)
-        self.processes[zone] = await asyncio.create_subprocess_exec(
-            self.program,
-            "--on_platform",
-            env=dict(os.environ, PERIDOTFALL_CONFIG=path),
-            stdout=log,
-            stderr=log,
-        )
+        self.processes[zone] = await daemons.start(self.program, path, log)
         os.close(log)
-        await self.until_ready(port + 1)
+        await daemons.until_ready(port + 1, START_LIMIT)
 
     def open_log(self, zone):
         """A log that is not read must not block a daemon."""
@@ -367,20 +363,6 @@
         found = [it for it in text.splitlines() if it.startswith(name)]
         return float(found[-1].split(" ")[-1]) if found else 0
 
-    async def until_ready(self, port):
-        for _ in range(200):
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                writer.write(b"GET /peridotfall/ready HTTP/1.1\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
-                if b" 200 " in line:
-                    return
-            except OSError:
-                pass  # Not listening yet.
-            await asyncio.sleep(0.05)
-        raise RuntimeError("a daemon does not get ready")
-
     def reload_unusable(self, zone):
         """Damages the settings file; the active settings must stay in force."""
         with open(os.path.join(self.folder, f"{zone}.yaml"), "w") as file:
