--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace peridotfall::proxy {
@@ -78,6 +79,21 @@
   bool owns(LeaseId) const override { return false; }
 };
 
+/// A target that serves two statements at a time.
+inline TargetEntry targetEntry(TargetName name, GroupName group,
+                               DomainName domain, bool primary) {
+  TargetEntry it;
+  it.Name = std::move(name);
+  it.Group = std::move(group);
+  it.Address = "127.0.0.1:1";
+  it.Domain = std::move(domain);
+  it.Region = RegionName("tartu");
+  it.StartId = 1;
+  it.Slots = 2;
+  it.ClaimsPrimary = primary;
+  return it;
+}
+
 /// A primary "p" and replicas "r" and "s" of one group. The routes "orders"
 /// (primary), "views" (bounded staleness) and "status" (read your writes).
 struct ProxyFixture {
@@ -114,15 +130,8 @@
   }
 
   void addTarget(const char *name, bool primary) {
-    TargetEntry it;
-    it.Name = TargetName(name);
-    it.Group = GroupName("ledger");
-    it.Address = "127.0.0.1:1";
-    it.Domain = DomainName(std::string("domain-") + name);
-    it.Region = RegionName("tartu");
-    it.StartId = 1;
-    it.Slots = 2;
-    it.ClaimsPrimary = primary;
+    auto it = targetEntry(TargetName(name), GroupName("ledger"),
+                          DomainName(std::string("domain-") + name), primary);
     it.Revision = Entries.size() + 1;
     Entries[it.Name] = it;
   }
--- a/tests/proxy/fleet_groups_test.cpp
+++ b/tests/proxy/fleet_groups_test.cpp
@@ -82,15 +82,9 @@
     Fleet.applySettings(settings);
   }
   void addTarget(std::size_t group, std::size_t n, bool primary) {
-    TargetEntry it;
-    it.Name = targetName(group, n);
-    it.Group = groupName(group);
-    it.Address = "127.0.0.1:1";
-    it.Domain = DomainName("domain-" + std::to_string(n + 1));
-    it.Region = RegionName("tartu");
-    it.StartId = 1;
-    it.Slots = 2;
-    it.ClaimsPrimary = primary;
+    auto it =
+        targetEntry(targetName(group, n), groupName(group),
+                    DomainName("domain-" + std::to_string(n + 1)), primary);
     it.Revision = Entries.size() + 1;
     Entries[it.Name] = it;
   }
