--- a/tests/proxy/account_quotas_test.cpp
+++ b/tests/proxy/account_quotas_test.cpp
@@ -132,9 +132,10 @@
   CHECK(decision);
 }
 
-// Guards against an account that gets more than its limit because a report was
-// lost on its way.
-TEST_CASE("report not answered, is sent again to the next counter") {
+namespace {
+
+/// A daemon that has sent its first report, of five operations.
+struct ReportedOnce {
   struct Calls final : CallPort {
     std::vector<std::uint32_t> Reported;
     std::vector<std::string> Addresses;
@@ -147,24 +148,49 @@
       Pending.push_back(std::move(done));
     }
   };
-  ManualClock time;
-  Calls calls;
-  AccountQuotas daemon(calls, VmName("other"), time);
-  daemon.updateMembers(testing::membersOf(9));
-  ClientAccount account;
-  account.Name = AccountName("press");
-  account.Quota = Large;
-  daemon.apply(AccountTable::make({account}).value(), Tolerance, 1);
-  for (int n = 0; n < 5; ++n)
-    daemon.admit(account.Name, [](const QuotaDecision &) {});
-  time.advance(proxy::limits::ReportDelay);
-  daemon.tick();
-  REQUIRE(calls.Pending.size() == 1);
-  calls.Pending[0](http::TransportError{http::Failure::MaybeRun, "silent", {}});
-  time.advance(proxy::limits::ReportDelay);
-  daemon.tick();
-  CHECK(calls.Reported == std::vector<std::uint32_t>{5, 5});
-  CHECK(calls.Addresses[0] != calls.Addresses[1]);
+
+  ManualClock Time;
+  Calls Sent;
+  AccountQuotas Daemon{Sent, VmName("other"), Time};
+
+  ReportedOnce() {
+    Daemon.updateMembers(testing::membersOf(9));
+    ClientAccount account;
+    account.Name = AccountName("press");
+    account.Quota = Large;
+    Daemon.apply(AccountTable::make({account}).value(), Tolerance, 1);
+    for (int n = 0; n < 5; ++n)
+      Daemon.admit(account.Name, [](const QuotaDecision &) {});
+    passReportDelay();
+    REQUIRE(Sent.Pending.size() == 1);
+  }
+  void passReportDelay() {
+    Time.advance(proxy::limits::ReportDelay);
+    Daemon.tick();
+  }
+};
+
+} // namespace
+
+// Guards against an account that gets more than its limit because a report was
+// lost on its way.
+TEST_CASE_FIXTURE(ReportedOnce,
+                  "report not answered, is sent again to the next counter") {
+  Sent.Pending[0](http::TransportError{http::Failure::MaybeRun, "silent", {}});
+  passReportDelay();
+  CHECK(Sent.Reported == std::vector<std::uint32_t>{5, 5});
+  CHECK(Sent.Addresses[0] != Sent.Addresses[1]);
+}
+
+// Guards against operations that a counter without the account's quota forgets.
+TEST_CASE_FIXTURE(ReportedOnce,
+                  "report not counted, is sent again to the next counter") {
+  messages::UseAnswer answer;
+  answer.Grants.emplace_back().Uncounted = true;
+  Sent.Pending[0](http::Response{200, {}, messages::encode(answer)});
+  passReportDelay();
+  CHECK(Sent.Reported == std::vector<std::uint32_t>{5, 5});
+  CHECK(Sent.Addresses[0] != Sent.Addresses[1]);
 }
 
 TEST_CASE("counters, members in another order, are the same") {
--- a/tests/proxy/quota_partitions_test.cpp
+++ b/tests/proxy/quota_partitions_test.cpp
@@ -99,3 +99,15 @@
     CHECK(fleet.mostInWindow() <= allowed(quota));
   }
 }
+
+// Guards against one operation more from each of many daemons whose shares are
+// less than one.
+TEST_CASE("daemons reach no counter, idle and then all at once, the limit is "
+          "kept") {
+  Fleet fleet(300, Small);
+  fleet.Cut = [](const std::string &, const std::string &) { return true; };
+  fleet.run(0, seconds(3));
+  fleet.run(10, seconds(60));
+  fleet.run(2'000, seconds(3));
+  CHECK(fleet.mostInWindow() <= allowed(Small));
+}
--- a/tests/proxy/quota_restarts_test.cpp
+++ b/tests/proxy/quota_restarts_test.cpp
@@ -60,6 +60,20 @@
   }
 }
 
+// Guards against shares that stay with a counter that gets no configuration.
+TEST_CASE("counter restarts below the limit and has no configuration for long, "
+          "operations go on") {
+  Fleet fleet(75, Large);
+  auto rate = Large.RatePerSecond * 0.9;
+  fleet.run(rate, seconds(6));
+  fleet.restart(fleet.indexOf(fleet.counter()), false);
+  fleet.run(rate, seconds(3));
+  fleet.Asked = fleet.Refused = 0;
+  fleet.run(rate, seconds(10));
+  CAPTURE(fleet.Refused);
+  CHECK(fleet.Refused * 20 <= fleet.Asked);
+}
+
 // Guards against a fleet that has restarted and waits long for counters that
 // had no configuration when they were first asked.
 TEST_CASE("all daemons restart and get their configurations one by one, "
