--- a/review/1/test.py
+++ b/review/1/test.py
@@ -17,16 +17,20 @@
 import world as deployment  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RUN_S = 60.0  # Of traffic.
+RUN_S = 9.0  # Of traffic.
 CALLERS = 12
-KILL_EVERY_S = 3.2
+KILL_EVERY_S = 2.0
+KILLS = 3  # Each daemon of the primary's zone once.
 DOWN_S = 0.3  # Until the platform starts a killed process again.
 SHORTEST_PAUSE_S, LONGEST_PAUSE_S = 2.0, 2.8  # Below `tx_idle_ms`, 3,000.
 
 
 async def call(caller, until):
     loop = asyncio.get_running_loop()
-    pause = lambda: caller.random.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S)
+
+    def pause():
+        return caller.random.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S)
+
     await asyncio.sleep(caller.random.uniform(0, 1))
     while loop.time() < until:
         attempt = await caller.transaction(caller.random.randint(2, 4), pause)
@@ -35,15 +39,12 @@
     caller.close()
 
 
-async def kill_holders(world, until):
-    """Kills one daemon of the primary's zone at a time."""
-    loop = asyncio.get_running_loop()
+async def kill_holders(world):
+    """Kills one daemon of the primary's zone after the other."""
     daemons = world.fleet.of(world.service.primary.zone)
-    n = 0
-    while loop.time() + KILL_EVERY_S < until:
-        await asyncio.sleep(KILL_EVERY_S)
-        victim = daemons[n // 3 % len(daemons)]
-        n += 1
+    for n in range(KILLS):
+        await asyncio.sleep(KILL_EVERY_S - DOWN_S)
+        victim = daemons[(n + 1) % len(daemons)]
         world.record(f"SIGKILL of {victim.name}")
         await victim.kill()
         await asyncio.sleep(DOWN_S)
@@ -91,7 +92,7 @@
     until = asyncio.get_running_loop().time() + RUN_S
     work = [call(it, until) for it in sessions]
     if TROUBLE:
-        work.append(kill_holders(world, until))
+        work.append(kill_holders(world))
     await asyncio.gather(*work)
     ended = [it.name for it in world.fleet.daemons if it.ended()]
     if ended:
