--- a/review/1/test.py
+++ b/review/1/test.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -17,6 +18,8 @@
 import world as deployment  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# RESTART=term: the daemons are stopped and started in turn, as planned work.
+HOW = signal.SIGTERM if os.environ.get("RESTART") == "term" else signal.SIGKILL
 RUN_S = 9.0  # Of traffic.
 CALLERS = 12
 KILL_EVERY_S = 2.0
@@ -39,14 +42,14 @@
     caller.close()
 
 
-async def kill_holders(world):
-    """Kills one daemon of the primary's zone after the other."""
+async def restart_holders(world):
+    """Ends and starts one daemon of the primary's zone after the other."""
     daemons = world.fleet.of(world.service.primary.zone)
     for n in range(KILLS):
         await asyncio.sleep(KILL_EVERY_S - DOWN_S)
         victim = daemons[(n + 1) % len(daemons)]
-        world.record(f"SIGKILL of {victim.name}")
-        await victim.kill()
+        world.record(f"{HOW.name} of {victim.name}")
+        await victim.kill(HOW)
         await asyncio.sleep(DOWN_S)
         await victim.start()
         world.record(f"{victim.name} is started again")
@@ -92,7 +95,7 @@
     until = asyncio.get_running_loop().time() + RUN_S
     work = [call(it, until) for it in sessions]
     if TROUBLE:
-        work.append(kill_holders(world))
+        work.append(restart_holders(world))
     await asyncio.gather(*work)
     ended = [it.name for it in world.fleet.daemons if it.ended()]
     if ended:
