Watches between daemons: whether the callee lost the store or is starting

What the lines of a region that starts cannot tell: a watch answered as unavailable came from a daemon that has lost the store, or from one that has not had its first objects. The answer says so now, and PF2008 logs it (why). No decision uses it yet.

--- a/src/messages/snapshot.cpp
+++ b/src/messages/snapshot.cpp
@@ -136,6 +136,7 @@
   for (const auto &object : it.Changes.Objects)
     toProto(object, pack, *out.add_objects());
   out.set_age_us(toMicros(it.Age));
+  out.set_starting(it.Starting);
   return out.SerializeAsString();
 }
 
@@ -156,6 +157,7 @@
     out.Changes.Objects.push_back(std::move(object.value()));
   }
   out.Age = fromMicros(in.age_us());
+  out.Starting = in.starting();
   return out;
 }
 
--- a/src/messages/snapshot.h
+++ b/src/messages/snapshot.h
@@ -73,6 +73,8 @@
 struct WatchAnswer {
   proxy::ObjectChanges Changes;
   Duration Age{}; ///< Since the store last answered the responder.
+  /// If unavailable: the responder has not had any objects yet.
+  bool Starting = false;
 };
 
 std::string encode(const SnapshotRequest &it);
--- a/src/proxy/object_cache.h
+++ b/src/proxy/object_cache.h
@@ -186,6 +186,8 @@
   void refresh(std::function<void()> done = nullptr);
   /// \return whether the last call of the store succeeded.
   bool isCurrent() const { return Current; }
+  /// \return whether the cache was ever filled from the store.
+  bool hasStarted() const { return EverCurrent; }
   /// \return when the store last confirmed the cached objects, to this daemon
   /// or to the one that watches for it; the start time if it never did.
   TimePoint confirmedAt() const { return ConfirmedAt; }
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -92,6 +92,7 @@
                   field("waited_ms", wholeMillis(line.Waited)),
                   field("bytes", line.Received.Bytes),
                   field("transfer_ms", wholeMillis(line.Received.Elapsed)),
+                  field("why", line.Why),
                   field("age_ms", fresh == ConfirmedAt.end()
                                       ? std::string("-")
                                       : std::to_string(wholeMillis(
@@ -284,6 +285,8 @@
       done(changes);
       return;
     }
+    if (it)
+      line.Why = it->Starting ? "starting" : "store lost";
     logUnanswered(line);
     recordFailure(vm, it.has_value());
     if (!watchShared(kind, revision, wait, done))
@@ -352,7 +355,9 @@
   if (isCurrent(*it.Of)) {
     out.Changes = it.Of->changesSince(it.NewerThan);
     out.Age = now - (Sentinel ? Sentinel : it.Of)->confirmedAt();
-  }
+  } else
+    out.Starting =
+        !it.Of->hasStarted() || (Sentinel && !Sentinel->hasStarted());
   it.Done(std::move(out));
 }
 
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -108,6 +108,7 @@
   std::string Callee;    ///< A daemon, or "store".
   http::Transfer Received;
   Duration Waited{};
+  const char *Why = "silent"; ///< Or what the callee answered instead.
 };
 
 /// Logs an answer that is large enough to saturate a link.
--- a/tests/proxy/shared_watch_test.cpp
+++ b/tests/proxy/shared_watch_test.cpp
@@ -293,6 +293,28 @@
   CHECK(OwnCache.revision() == OwnStore.Revision);
 }
 
+// Guards against a daemon that starts being taken for one that has lost the
+// store.
+TEST_CASE_FIXTURE(SharedWatchFixture,
+                  "watcher without objects, answers that it is starting") {
+  ObjectCache empty({.Kind = "other"}, WatchersStore, Time);
+  Host.add(empty);
+  std::vector<messages::WatchAnswer> answers;
+  auto ask = [&] {
+    Host.begin({"other", 0, milliseconds(0)},
+               [&](const messages::WatchAnswer &it) { answers.push_back(it); });
+    Host.tick();
+  };
+  ask();
+  empty.start();
+  WatchersStore.Reachable = false;
+  empty.refresh();
+  ask();
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[0].Starting);
+  CHECK_FALSE(answers[1].Starting);
+}
+
 // Guards against an answer that presents old data as new when the daemon has it
 // from a watcher.
 TEST_CASE_FIXTURE(SharedWatchFixture,
