Shared watch: a daemon that starts passes on what it has

Callers saw a region without a configuration for ten seconds and more after the start of its daemons, and then late ones (CONFIG on the whole fleet). Cause: a circular wait. The first watcher of a domain, named by a record, has the list of members; by it two others watch for the domain, and it waits for their configuration. These two wait for its list of members. It answered no watch of any kind as long as it had no configuration, the kind that detects an outage. Now a sentinel that has never had objects says nothing about an outage; the kind itself does, with its own age. That others still list beside is another fault, which stays known red.

--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -340,8 +340,15 @@
                      now + request.Wait, std::move(answer)});
 }
 
+/// \return the cache whose confirmations by the store count. A daemon that
+/// starts may have the members, by which others learn who watches, before the
+/// sentinel's objects, which it gets from those.
+const ObjectCache &WatchHost::confirming(const ObjectCache &cache) const {
+  return Sentinel && Sentinel->hasStarted() ? *Sentinel : cache;
+}
+
 bool WatchHost::isCurrent(const ObjectCache &cache) const {
-  return cache.isCurrent() && (!Sentinel || Sentinel->isCurrent());
+  return cache.isCurrent() && confirming(cache).isCurrent();
 }
 
 bool WatchHost::isDue(const PendingWatch &it, TimePoint now) const {
@@ -354,10 +361,9 @@
   messages::WatchAnswer out;
   if (isCurrent(*it.Of)) {
     out.Changes = it.Of->changesSince(it.NewerThan);
-    out.Age = now - (Sentinel ? Sentinel : it.Of)->confirmedAt();
+    out.Age = now - confirming(*it.Of).confirmedAt();
   } else
-    out.Starting =
-        !it.Of->hasStarted() || (Sentinel && !Sentinel->hasStarted());
+    out.Starting = !it.Of->hasStarted();
   it.Done(std::move(out));
 }
 
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -219,6 +219,7 @@
     TimePoint Until;
     Answer Done;
   };
+  const ObjectCache &confirming(const ObjectCache &cache) const;
   bool isCurrent(const ObjectCache &cache) const;
   bool isDue(const PendingWatch &it, TimePoint now) const;
   void answer(const PendingWatch &it, TimePoint now) const;
--- a/tests/proxy/region_start_test.cpp
+++ b/tests/proxy/region_start_test.cpp
@@ -249,6 +249,15 @@
 
 } // namespace
 
+// Guards against a first watcher and the daemons that watch by the members that
+// wait for each other.
+TEST_CASE_FIXTURE(RegionStartFixture,
+                  "domains start, first watchers are not those that watch by "
+                  "the members, all have the configuration in time") {
+  pass(Bound);
+  CHECK(without() == 0);
+}
+
 // Guards against a region whose daemons all list the store, because those that
 // watch for them have nothing yet, and fill the link behind which it is.
 TEST_CASE_FIXTURE(RegionStartFixture,
