Shared watch: daemons that know only the first watcher do not list the store

Callers saw late configurations and refusals after the start of a region behind a link of 150 Mbit/s. Cause: a watcher that had no objects yet was taken for one that had lost the store. Turns to list the store need the number of daemons of the domain, which comes with the members; without it all listed the configuration at once, each up to four times. Now such a daemon waits for the first watcher. If that one is silent, or has had nothing for longer than a list takes, the record is replaced: one daemon of the domain takes its place, the others follow it (a small read each). With known members, direct lists begin after the lists of watchers that are starting.

--- a/src/proxy/first_watcher.cpp
+++ b/src/proxy/first_watcher.cpp
@@ -9,12 +9,16 @@
 
 namespace {
 
+/// \return a part of RecordDelaySpread, another one for each daemon.
+milliseconds spreadOf(const VmName &vm) {
+  auto spread = static_cast<std::uint64_t>(limits::RecordDelaySpread.count());
+  return milliseconds(stableHash(vm.Value, "watch record") % spread);
+}
+
 Duration readDelay(const Member &self) {
   auto byLink = limits::RecordDelayPerMbps / std::max(self.LinkMbps, 1U);
   auto fleet = static_cast<std::uint64_t>(limits::FleetStartDelay.count());
-  auto spread = static_cast<std::uint64_t>(limits::RecordDelaySpread.count());
-  auto place = stableHash(self.Vm.Value, "watch record") % spread;
-  return milliseconds(std::min(byLink, fleet) + place);
+  return milliseconds(std::min(byLink, fleet)) + spreadOf(self.Vm);
 }
 
 } // namespace
@@ -37,17 +41,30 @@
 }
 
 void FirstWatcher::handleRead(ReadOutcome outcome,
-                              const std::optional<Member> &named) {
-  bool mayWrite = outcome == ReadOutcome::Done && !named && !Refused;
+                              const std::optional<WatcherRecord> &record) {
+  bool isMissing = !record || record->Revision == LostRevision;
+  bool mayWrite = outcome == ReadOutcome::Done && isMissing && !Refused;
   CurrentStep = mayWrite ? Step::ToWrite : Step::Over;
-  if (named && named->Vm != Self)
-    Found = named;
+  ReplacedRevision = record ? record->Revision : 0;
+  if (!record || record->Named.Vm == Self)
+    return;
+  Found = record->Named;
+  FoundRevision = record->Revision;
 }
 
 /// Another daemon may have written the record meanwhile.
 void FirstWatcher::handleWritten(CallOutcome outcome) {
   Refused = outcome == CallOutcome::Refused;
   CurrentStep = Refused ? Step::ToRead : Step::Over;
+  if (outcome == CallOutcome::Done)
+    Found.reset();
+}
+
+void FirstWatcher::handleLost(TimePoint now) {
+  LostRevision = FoundRevision;
+  Refused = false;
+  ReadAt = now + spreadOf(Self);
+  CurrentStep = Step::ToRead;
 }
 
 bool FirstWatcher::isOver(TimePoint now) const {
--- a/src/proxy/first_watcher.h
+++ b/src/proxy/first_watcher.h
@@ -3,8 +3,9 @@
 /// failure domain. Load: a fleet whose daemons all start. Listing the daemons
 /// takes an answer in proportion to their number, so that the answers of all
 /// grow with its square and fill a link between regions. A record for each
-/// failure domain names a daemon that passes the list on. Decides only; the
-/// caller reads and writes the record.
+/// failure domain names a daemon that passes the list on. If that one is lost,
+/// the first to replace the record takes its place. Decides only; the caller
+/// reads and writes the record.
 
 #ifndef PERIDOTFALL_PROXY_FIRST_WATCHER_H
 #define PERIDOTFALL_PROXY_FIRST_WATCHER_H
@@ -36,6 +37,14 @@
 
 } // namespace limits
 
+/// The daemon that a record names, and the record's revision in the store.
+struct WatcherRecord {
+  Member Named;
+  std::uint64_t Revision = 0;
+
+  auto operator<=>(const WatcherRecord &) const = default;
+};
+
 /// Not synchronised.
 class FirstWatcher {
 public:
@@ -47,9 +56,14 @@
   /// \return the call to make now; its answer is passed to handleRead or
   /// handleWritten.
   Call next(TimePoint now);
-  /// \param named the daemon in the record; empty if there is no record.
-  void handleRead(ReadOutcome outcome, const std::optional<Member> &named);
+  /// \param record empty if there is none.
+  void handleRead(ReadOutcome outcome,
+                  const std::optional<WatcherRecord> &record);
   void handleWritten(CallOutcome outcome);
+  /// Searches again, since the daemon found is lost.
+  void handleLost(TimePoint now);
+  /// \return the revision of the record to be replaced; 0: it is created.
+  std::uint64_t replacedRevision() const { return ReplacedRevision; }
   /// \return whether the search is over.
   bool isOver(TimePoint now) const;
   /// \return the daemon to call for the list; empty if the store is to be
@@ -62,8 +76,11 @@
   VmName Self;
   TimePoint ReadAt;
   Step CurrentStep = Step::ToRead;
-  bool Refused = false; ///< The write, since there is a record.
+  bool Refused = false; ///< The write, since there is another record.
   std::optional<Member> Found;
+  std::uint64_t FoundRevision = 0;
+  std::uint64_t LostRevision = 0; ///< Of the record that names a lost daemon.
+  std::uint64_t ReplacedRevision = 0;
 };
 
 /// Whether a daemon renews the record of its failure domain. One does, if the
--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -63,14 +63,18 @@
                                 const std::vector<Member> &live) {
   Self = self;
   PlanByMembers = planWatches(self, domain, live);
-  setFirstWatcher(FirstWatcher);
+  updatePlan();
 }
 
 void SharedWatch::setFirstWatcher(std::optional<Member> watcher) {
   FirstWatcher = std::move(watcher);
-  Plan = PlanByMembers;
-  if (FirstWatcher && Plan.Watchers.empty() && !Plan.WatchesForOthers)
-    Plan.Watchers = {*FirstWatcher};
+  FirstWatcherFailsSince.reset();
+  IsFirstWatcherLost = false;
+  updatePlan();
+}
+
+void SharedWatch::updatePlan() {
+  Plan = FirstWatcher ? WatchPlan{{*FirstWatcher}, false} : PlanByMembers;
 }
 
 void logLargeAnswer(const CallRecord &line) {
@@ -176,7 +180,9 @@
 std::optional<milliseconds> SharedWatch::hedgeDelay() const {
   if (Plan.DomainDaemons == 0)
     return std::nullopt;
-  return limits::HedgeDelay + directListDelay();
+  bool isLarge = Plan.DomainDaemons > limits::DirectListsAtOnce;
+  return limits::HedgeDelay + directListDelay() +
+         (isLarge ? limits::DirectListInterval : milliseconds(0));
 }
 
 bool SharedWatch::reportsOutage(const VmName &watcher, TimePoint now) const {
@@ -214,16 +220,27 @@
   return timeUntilTooOld(kind) < limits::MinSharedWait;
 }
 
+/// \return whether it is this daemon's turn to list the store directly.
+bool SharedWatch::isMyTurn(TimePoint now) const {
+  if (!OutageSince)
+    return true;
+  // The lists of daemons that start come sooner than a turn would.
+  auto first = *OutageSince + (AreWatchersStarting ? limits::DirectListInterval
+                                                   : milliseconds(0));
+  return now >= first + directListDelay();
+}
+
 bool SharedWatch::isStoreCallDue(const std::string &kind) const {
+  // Turns need the number of daemons, which comes with the members.
+  if (FirstWatcher)
+    return false;
   auto now = Time.now();
   bool outage =
       std::any_of(Plan.Watchers.begin(), Plan.Watchers.end(),
                   [&](const Member &it) { return reportsOutage(it.Vm, now); });
   if (!outage)
     return true;
-  bool isMyTurn = ConfirmedAt.contains(kind) || !OutageSince ||
-                  now >= *OutageSince + directListDelay();
-  if (!isMyTurn)
+  if (!ConfirmedAt.contains(kind) && !isMyTurn(now))
     return false;
   bool reached = kind == Sentinel || !isTooOld(Sentinel);
   auto next = NextStoreCall.find(kind);
@@ -244,16 +261,23 @@
       {timeUntilTooOld(kind), wait, milliseconds(limits::SharedWait)});
 }
 
-void SharedWatch::recordFailure(const VmName &watcher, bool answered) {
+void SharedWatch::recordFailure(
+    const VmName &watcher, const std::optional<messages::WatchAnswer> &answer) {
   auto now = Time.now();
   auto &it = Watchers[watcher];
   it.PausedUntil =
-      now + (answered ? limits::OutageReportPause : limits::WatcherPause);
-  if (answered) {
+      now + (answer ? limits::OutageReportPause : limits::WatcherPause);
+  if (answer) {
     it.ReportedOutageAt = now;
     OutageSince = OutageSince.value_or(now);
+    AreWatchersStarting = answer->Starting;
   } else
     it.ReportedOutageAt.reset();
+  if (!FirstWatcher)
+    return;
+  FirstWatcherFailsSince = FirstWatcherFailsSince.value_or(now);
+  IsFirstWatcherLost =
+      !answer || now - *FirstWatcherFailsSince >= limits::ListTimeout;
 }
 
 /// The called daemon may be frozen, killed, or cut off from this one or from
@@ -281,6 +305,7 @@
       ConfirmedAt[kind] = std::max(ConfirmedAt[kind], Time.now() - changes.Age);
       Watchers.erase(vm);
       OutageSince.reset();
+      FirstWatcherFailsSince.reset();
       logLargeAnswer(line);
       done(changes);
       return;
@@ -288,7 +313,7 @@
     if (it)
       line.Why = it->Starting ? "starting" : "store lost";
     logUnanswered(line);
-    recordFailure(vm, it.has_value());
+    recordFailure(vm, it);
     if (!watchShared(kind, revision, wait, done))
       done({});
   };
--- a/src/proxy/shared_watch.h
+++ b/src/proxy/shared_watch.h
@@ -135,9 +135,13 @@
 
   void updateMembers(const VmName &self, const DomainName &domain,
                      const std::vector<Member> &live);
-  /// \param watcher called as long as the members tell of no daemon to call;
-  /// empty: the store is called then.
+  /// \param watcher called in place of those that watch by the members, as
+  /// long as these are not listed; empty: they are, or the store is to be
+  /// listed.
   void setFirstWatcher(std::optional<Member> watcher);
+  /// \return whether the first watcher did not answer, or has had nothing to
+  /// pass on for longer than a list takes.
+  bool isFirstWatcherLost() const { return IsFirstWatcherLost; }
   const WatchPlan &plan() const { return Plan; }
   void list(const std::string &kind, const std::string &after,
             milliseconds limit, OnPage done) override;
@@ -158,8 +162,11 @@
     std::optional<TimePoint> ReportedOutageAt;
   };
 
-  /// \return the time until this daemon's turn to list the store directly.
+  void updatePlan();
+  /// \return the time from the first turn to list the store directly until
+  /// this daemon's turn.
   milliseconds directListDelay() const;
+  bool isMyTurn(TimePoint now) const;
   /// \return the interval between two of its calls of the store in an outage.
   milliseconds outageInterval(const std::string &kind) const;
   bool reportsOutage(const VmName &watcher, TimePoint now) const;
@@ -167,7 +174,9 @@
   milliseconds timeUntilTooOld(const std::string &kind) const;
   bool isTooOld(const std::string &kind) const;
   milliseconds sharedWait(const std::string &kind, milliseconds wait) const;
-  void recordFailure(const VmName &watcher, bool answered);
+  /// \param answer empty if none came in time.
+  void recordFailure(const VmName &watcher,
+                     const std::optional<messages::WatchAnswer> &answer);
   void watchStoreIfDue(const std::string &kind, std::uint64_t revision,
                        milliseconds wait, const OnChanges &done);
   milliseconds storeWait(const std::string &kind, milliseconds wait);
@@ -185,9 +194,12 @@
   VmName Self;
   /// Since when the daemons that watch for this one report an outage.
   std::optional<TimePoint> OutageSince;
+  bool AreWatchersStarting = false; ///< And have not lost the store.
   WatchPlan PlanByMembers;
   WatchPlan Plan; ///< The same, or the first watcher.
   std::optional<Member> FirstWatcher;
+  std::optional<TimePoint> FirstWatcherFailsSince;
+  bool IsFirstWatcherLost = false;
   std::map<VmName, WatcherState> Watchers;
   /// When the store may be called again during an outage, by kind.
   std::map<std::string, TimePoint> NextStoreCall;
--- a/tests/proxy/first_watcher_test.cpp
+++ b/tests/proxy/first_watcher_test.cpp
@@ -22,7 +22,7 @@
 
 /// The record of one failure domain in a store that answers at once.
 struct WatcherRecordFixture {
-  std::optional<Member> Record;
+  std::optional<WatcherRecord> Record;
   std::size_t Reads = 0;
   std::size_t Writes = 0;
 
@@ -34,11 +34,15 @@
       search.handleRead(ReadOutcome::Done, Record);
     } else if (call == Call::Write) {
       ++Writes;
-      search.handleWritten(Record ? CallOutcome::Refused : CallOutcome::Done);
-      if (!Record)
-        Record = self;
+      auto present = Record ? Record->Revision : 0;
+      bool isRefused = search.replacedRevision() != present;
+      if (!isRefused)
+        Record = {self, ++Revision};
+      search.handleWritten(isRefused ? CallOutcome::Refused
+                                     : CallOutcome::Done);
     }
   }
+  std::uint64_t Revision = 0; ///< Of the store.
 };
 
 } // namespace
@@ -62,7 +66,7 @@
     for (std::size_t n = 0; n < members.size(); ++n)
       step(members[n], searches[n], now);
   REQUIRE(Record);
-  CHECK(Record->LinkMbps == 1'000);
+  CHECK(Record->Named.LinkMbps == 1'000);
   // Those that look for the record in the same moment all find none.
   CHECK(Writes <= 3);
   CHECK(Reads <= members.size() + Writes);
@@ -76,25 +80,52 @@
 
 TEST_CASE_FIXTURE(WatcherRecordFixture,
                   "first watcher, daemon restarts, reads the record at once") {
-  Record = daemonOf(1, 1'000);
+  Record = {daemonOf(1, 1'000), 1};
   FirstWatcher search(daemonOf(2, 20), false, TimePoint{});
   step(daemonOf(2, 20), search, TimePoint{});
   REQUIRE(search.isOver(TimePoint{}));
   REQUIRE(search.watcher());
-  CHECK(search.watcher()->Vm == Record->Vm);
+  CHECK(search.watcher()->Vm == Record->Named.Vm);
 }
 
 // Guards against a daemon that waits for itself to pass on the list.
 TEST_CASE_FIXTURE(WatcherRecordFixture,
                   "first watcher, daemon named by the record restarts, calls "
                   "the store") {
-  Record = daemonOf(1, 1'000);
+  Record = {daemonOf(1, 1'000), 1};
   FirstWatcher search(daemonOf(1, 1'000), false, TimePoint{});
   step(daemonOf(1, 1'000), search, TimePoint{});
   CHECK(search.isOver(TimePoint{}));
   CHECK_FALSE(search.watcher());
 }
 
+// Guards against a domain whose daemons all list the store, or wait without
+// end, because the record names a daemon that is lost.
+TEST_CASE_FIXTURE(WatcherRecordFixture,
+                  "daemon named by the record is lost, one takes its place and "
+                  "the others call it") {
+  constexpr std::size_t Waiting = 160;
+  Record = {daemonOf(Waiting, 20), ++Revision};
+  std::vector<FirstWatcher> searches;
+  for (std::size_t n = 0; n < Waiting; ++n) {
+    searches.emplace_back(daemonOf(n, 20), false, TimePoint{});
+    step(daemonOf(n, 20), searches[n], TimePoint{});
+    REQUIRE(searches[n].watcher()->Vm == daemonOf(Waiting, 20).Vm);
+    searches[n].handleLost(TimePoint{});
+  }
+  for (TimePoint now{}; now < TimePoint{} + milliseconds(1'000);
+       now += milliseconds(20))
+    for (std::size_t n = 0; n < Waiting; ++n)
+      step(daemonOf(n, 20), searches[n], now);
+  std::size_t listing = 0;
+  for (const auto &it : searches) {
+    CHECK(it.isOver(TimePoint{} + milliseconds(1'000)));
+    listing += !it.watcher();
+    CHECK((!it.watcher() || it.watcher()->Vm == Record->Named.Vm));
+  }
+  CHECK(listing == 1);
+}
+
 // Guards against a daemon that starts while the store is down and never lists.
 TEST_CASE("first watcher, store does not answer, search ends") {
   FirstWatcher failed(daemonOf(2, 20), false, TimePoint{});
@@ -134,6 +165,50 @@
   CHECK(isRecordRenewalDue(true, moved, live));
 }
 
+// Guards against daemons that wait without end for a first watcher, and against
+// lists by all of them beside.
+TEST_CASE("first watcher silent or without objects, counts as lost and the "
+          "store is not listed") {
+  for (bool isSilent : {true, false}) {
+    struct NoObjects final : WatcherPort {
+      bool Silent = false;
+      void watch(const std::string &, const messages::WatchRequest &,
+                 milliseconds, OnWatchAnswer done) override {
+        done({Silent ? std::nullopt
+                     : std::optional(messages::WatchAnswer{.Starting = true})});
+      }
+    } link;
+    link.Silent = isSilent;
+    struct CountedStore final : ObjectSource {
+      std::size_t Calls = 0;
+      void list(const std::string &, const std::string &, milliseconds,
+                OnPage) override {
+        ++Calls;
+      }
+      void watch(const std::string &, std::uint64_t, milliseconds,
+                 OnChanges) override {
+        ++Calls;
+      }
+    } store;
+    ManualClock time;
+    SharedWatch watch(store, link, "config", milliseconds(1'500), time);
+    ObjectCache cache({.Kind = "config"}, watch, time);
+    watch.setFirstWatcher(daemonOf(1, 20));
+    cache.start();
+    CHECK(watch.isFirstWatcherLost() == isSilent);
+    for (Duration passed{}; passed < 2 * proxy::limits::ListTimeout;
+         passed += milliseconds(20)) {
+      time.advance(milliseconds(20));
+      cache.tick();
+    }
+    CHECK(watch.isFirstWatcherLost());
+    CHECK(store.Calls == 0);
+    watch.setFirstWatcher(std::nullopt);
+    cache.resync();
+    CHECK(store.Calls == 1);
+  }
+}
+
 // Guards against a daemon that starts without members and calls the store
 // although its failure domain has a watcher.
 TEST_CASE("shared watch, first watcher set, is called until members are "
