Shared watch: watchers heard of, once the first watcher is lost

A daemon that the store turns away after it has read the record, and whose first watcher is lost, could neither list nor replace the record; gossip may tell it who watches. Part of the tests of a first watcher that is lost, which fail without it.

--- a/src/proxy/shared_watch.cpp
+++ b/src/proxy/shared_watch.cpp
@@ -74,7 +74,10 @@
 }
 
 void SharedWatch::updatePlan() {
-  Plan = FirstWatcher ? WatchPlan{{*FirstWatcher}, false} : PlanByMembers;
+  // Gossip may tell of watchers before the members are listed.
+  bool useMembers = IsFirstWatcherLost && !PlanByMembers.Watchers.empty();
+  Plan = FirstWatcher && !useMembers ? WatchPlan{{*FirstWatcher}, false}
+                                     : PlanByMembers;
 }
 
 void logLargeAnswer(const CallRecord &line) {
@@ -278,6 +281,7 @@
   FirstWatcherFailsSince = FirstWatcherFailsSince.value_or(now);
   IsFirstWatcherLost =
       !answer || now - *FirstWatcherFailsSince >= limits::ListTimeout;
+  updatePlan();
 }
 
 /// The called daemon may be frozen, killed, or cut off from this one or from
--- a/tests/proxy/first_watcher_test.cpp
+++ b/tests/proxy/first_watcher_test.cpp
@@ -203,6 +203,12 @@
     }
     CHECK(watch.isFirstWatcherLost());
     CHECK(store.Calls == 0);
+    std::vector<Member> heardOf;
+    for (std::size_t n = 0; n < 6; ++n)
+      heardOf.push_back(daemonOf(n, n < 2 ? 1'000 : 20));
+    watch.updateMembers(daemonOf(5, 20).Vm, DomainName(), heardOf);
+    CHECK(watch.plan().Watchers.size() == 2);
+    watch.updateMembers(daemonOf(5, 20).Vm, DomainName(), {});
     watch.setFirstWatcher(std::nullopt);
     cache.resync();
     CHECK(store.Calls == 1);
@@ -238,6 +244,9 @@
   CHECK(watch.plan().Watchers[0].Vm == live[5].Vm);
   watch.updateMembers(live[0].Vm, domain, {live[0], live[1]});
   CHECK(watch.plan().Watchers.size() == 1);
+  watch.updateMembers(live[0].Vm, domain, live);
+  CHECK(watch.plan().Watchers.size() == 1);
+  watch.updateMembers(live[0].Vm, domain, {live[0], live[1]});
   watch.setFirstWatcher(std::nullopt);
   CHECK(watch.plan().Watchers.empty());
   watch.updateMembers(live[0].Vm, domain, live);
