JSON: an entry of many levels is left out, the others are read

Cause: nlohmann reads any depth, and writing the entry's spec recurses once a level. Now a text of more than 64 levels is not valid; of a list only the entry is left out and logged. The scan is one pass over the bytes.

--- a/include/peridotfall/limits.h
+++ b/include/peridotfall/limits.h
@@ -22,6 +22,9 @@
 inline constexpr std::size_t MaxHeaderBytes = 16 << 10;
 /// Number of header fields in one request.
 inline constexpr std::size_t MaxHeaderFields = 64;
+/// Levels of arrays and objects in one JSON text. Writing a value recurses once
+/// a level.
+inline constexpr std::size_t MaxJsonDepth = 64;
 /// Concurrent HTTP/2 streams on one caller connection.
 inline constexpr std::uint32_t MaxCallerStreams = 128;
 /// Concurrent HTTP/2 streams on one connection between daemons.
--- a/src/base/document.cpp
+++ b/src/base/document.cpp
@@ -1,5 +1,7 @@
 #include "base/document.h"
 
+#include "peridotfall/limits.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
@@ -37,7 +39,28 @@
 
 } // namespace
 
+bool isNestedTooDeeply(std::string_view text) {
+  std::size_t depth = 0;
+  bool inString = false;
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    char c = text[n];
+    if (inString && c == '\\')
+      ++n;
+    else if (c == '"')
+      inString = !inString;
+    else if (!inString && (c == '[' || c == '{') &&
+             ++depth > limits::MaxJsonDepth)
+      return true;
+    else if (!inString && (c == ']' || c == '}') && depth > 0)
+      --depth;
+  }
+  return false;
+}
+
 Parsed<Json> parseJson(const std::string &text) {
+  if (isNestedTooDeeply(text))
+    return Findings{
+        {"/", fmt::format("{} levels at most", limits::MaxJsonDepth), "more"}};
   DuplicateCheck check;
   Json it;
   try {
--- a/src/base/document.h
+++ b/src/base/document.h
@@ -10,12 +10,18 @@
 #include <initializer_list>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 
 namespace peridotfall {
 
 using Json = nlohmann::json;
 
-/// Parses strictly; duplicate names and trailing text are findings.
+/// \return whether the text has more than limits::MaxJsonDepth levels. The text
+/// need not be valid JSON.
+bool isNestedTooDeeply(std::string_view text);
+
+/// Parses strictly; duplicate names, trailing text and too many levels are
+/// findings.
 Parsed<Json> parseJson(const std::string &text);
 
 /// Reads one object of a document. A field that is missing or has the wrong
