Relay: a lease names the holder's process

Cause: lease numbers begin anew with each process, and a daemon goes on using those of the one that has ended, on a new connection to it. Now the answer names the process, each further call repeats it, and the holder refuses a lease of another process as not run. A number without a process, of an earlier version, is refused as well: a rolling upgrade restarts holders in series. RemoteLeaseId is a type of its own, so that a number without its process does not compile there.

--- a/src/messages/lease.cpp
+++ b/src/messages/lease.cpp
@@ -162,7 +162,8 @@
 
 std::string encode(const RunLease &it) {
   lease::RunLease out;
-  out.set_lease(it.Lease.Value);
+  out.set_lease(it.Lease.Lease.Value);
+  out.set_process(it.Lease.Holder.Value);
   toProto(out.mutable_next(), it.Next);
   return out.SerializeAsString();
 }
@@ -172,13 +173,14 @@
   RunLease out;
   if (!in.ParseFromString(bytes) || !fromProto(in.next(), out.Next))
     return malformed();
-  out.Lease = {in.lease()};
+  out.Lease = {{in.process()}, {in.lease()}};
   return out;
 }
 
 std::string encode(const AbandonLease &it) {
   lease::AbandonLease out;
-  out.set_lease(it.Lease.Value);
+  out.set_lease(it.Lease.Lease.Value);
+  out.set_process(it.Lease.Holder.Value);
   return out.SerializeAsString();
 }
 
@@ -186,7 +188,7 @@
   lease::AbandonLease in;
   if (!in.ParseFromString(bytes))
     return malformed();
-  return AbandonLease{{in.lease()}};
+  return AbandonLease{{{in.process()}, {in.lease()}}};
 }
 
 std::string encode(const LeaseAnswer &it) {
@@ -195,7 +197,10 @@
   for (const auto &answer : it.Result.Answers)
     toProto(out.add_answers(), answer);
   toProto(out.mutable_why(), it.Result.Error);
-  out.set_lease(it.Result.LeaseKept ? it.Lease.Value : 0);
+  if (it.Result.LeaseKept) {
+    out.set_lease(it.Lease.Lease.Value);
+    out.set_process(it.Lease.Holder.Value);
+  }
   out.set_target_unreachable(it.Result.TargetUnreachable);
   out.set_queue_full(it.Result.QueueFull);
   if (it.Result.Load) {
@@ -217,7 +222,8 @@
     fits = fits && fromProto(answer, out.Result.Answers.emplace_back());
   if (!fits)
     return malformed();
-  out.Lease = {in.lease()};
+  if (in.lease() != 0)
+    out.Lease = {{in.process()}, {in.lease()}};
   out.Result.LeaseKept = out.Lease.valid();
   out.Result.TargetUnreachable = in.target_unreachable();
   out.Result.QueueFull = in.queue_full();
--- a/src/messages/lease.h
+++ b/src/messages/lease.h
@@ -30,14 +30,14 @@
 };
 
 struct RunLease {
-  proxy::LeaseId Lease;
+  proxy::RemoteLeaseId Lease;
   proxy::Batch Next;
 
   auto operator<=>(const RunLease &) const = default;
 };
 
 struct AbandonLease {
-  proxy::LeaseId Lease;
+  proxy::RemoteLeaseId Lease;
 
   auto operator<=>(const AbandonLease &) const = default;
 };
@@ -45,7 +45,7 @@
 /// Answer to BeginLease and RunLease.
 struct LeaseAnswer {
   proxy::BatchResult Result;
-  proxy::LeaseId Lease; ///< For the next RunLease, if kept.
+  proxy::RemoteLeaseId Lease; ///< For the next RunLease, if kept.
 
   auto operator<=>(const LeaseAnswer &) const = default;
 };
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -18,6 +18,18 @@
 namespace peridotfall::proxy {
 
 using LeaseId = Handle<struct LeaseTag>;
+/// One run of a daemon; a restart on the same VM is another one.
+using ProcessId = Handle<struct ProcessTag>;
+
+/// A lease as other daemons name it. Lease numbers begin anew with each process
+/// of the holder.
+struct RemoteLeaseId {
+  ProcessId Holder;
+  LeaseId Lease;
+
+  bool valid() const { return Lease.valid(); }
+  auto operator<=>(const RemoteLeaseId &) const = default;
+};
 
 /// Statements sent in one write. At most one of them is the caller's.
 struct Batch {
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -147,7 +147,8 @@
     done(std::move(out));
 }
 
-void RelayClient::sendAbandon(const std::string &address, LeaseId there) {
+void RelayClient::sendAbandon(const std::string &address,
+                              const RemoteLeaseId &there) {
   // If this call is lost, the holder rolls back when the connection closes.
   Links.call(address, messages::AbandonLeasePath,
              messages::encode(messages::AbandonLease{there}),
@@ -188,10 +189,8 @@
     auto held = Leases.find(connection);
     if (!result.LeaseKept && held != Leases.end())
       held->second.erase(*lease);
-    respond(
-        {StatusOk,
-         {},
-         messages::encode(messages::LeaseAnswer{std::move(result), *lease})});
+    messages::LeaseAnswer answer{std::move(result), {Self, *lease}};
+    respond({StatusOk, {}, messages::encode(answer)});
   };
 }
 
@@ -229,12 +228,11 @@
     respond({StatusBadRequest, {}, message.error().Message});
     return;
   }
-  auto id = message.value().Lease;
+  auto id = message.value().Lease.Lease;
   // Only the daemon that began the lease may continue it, and only between its
   // batches.
-  auto held = Leases.find(request.Connection);
-  bool isTheirs = held != Leases.end() && held->second.contains(id);
-  if (!isTheirs || !Targets.isHeldHere(id)) {
+  if (!isGivenTo(request.Connection, message.value().Lease) ||
+      !Targets.isHeldHere(id)) {
     respond({StatusOk,
              {},
              messages::encode(
@@ -249,13 +247,21 @@
 void RelayServer::abandon(const http::Request &request,
                           const http::Respond &respond) {
   auto message = messages::decodeAbandonLease(request.Body);
-  auto held = Leases.find(request.Connection);
-  if (message && held != Leases.end() &&
-      held->second.erase(message.value().Lease) > 0)
-    Targets.abandon(message.value().Lease);
+  if (message && isGivenTo(request.Connection, message.value().Lease)) {
+    auto id = message.value().Lease.Lease;
+    Leases.at(request.Connection).erase(id);
+    Targets.abandon(id);
+  }
   respond({StatusOk, {}, {}});
 }
 
+bool RelayServer::isGivenTo(ConnectionHandle connection,
+                            const RemoteLeaseId &lease) const {
+  auto it = Leases.find(connection);
+  return lease.Holder == Self && it != Leases.end() &&
+         it->second.contains(lease.Lease);
+}
+
 void RelayServer::closed(ConnectionHandle connection) {
   auto it = Leases.find(connection);
   if (it == Leases.end())
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -94,7 +94,7 @@
 private:
   struct RemoteLease {
     std::string Address;
-    LeaseId RemoteId;       ///< At the holder; invalid until it has answered.
+    RemoteLeaseId RemoteId; ///< At the holder; invalid until it has answered.
     bool Abandoned = false; ///< Before the holder answered.
   };
 
@@ -102,7 +102,7 @@
             milliseconds limit, const OnBatch &done);
   void handleAnswer(LeaseId lease, const http::CallResult &result,
                     const OnBatch &done);
-  void sendAbandon(const std::string &address, LeaseId there);
+  void sendAbandon(const std::string &address, const RemoteLeaseId &there);
 
   Channels &Links;
   std::function<std::string(const VmName &)> AddressOf;
@@ -112,7 +112,8 @@
 /// Runs the leases of other daemons. All calls on the loop's thread.
 class RelayServer {
 public:
-  explicit RelayServer(Groups &groups) : Targets(groups) {}
+  /// \param self this run of the daemon.
+  RelayServer(Groups &groups, ProcessId self) : Targets(groups), Self(self) {}
 
   /// \return whether the path belongs to this protocol.
   bool handle(const http::Request &request, const http::Respond &respond);
@@ -127,7 +128,13 @@
                         std::shared_ptr<LeaseId> lease,
                         const http::Respond &respond);
 
+  /// \return whether the connection's daemon was given the lease by this
+  /// process. It may still name a lease of the process before on a new
+  /// connection.
+  bool isGivenTo(ConnectionHandle connection, const RemoteLeaseId &lease) const;
+
   Groups &Targets;
+  ProcessId Self;
   std::map<ConnectionHandle, std::set<LeaseId>> Leases;
 };
 
--- a/tests/proxy/accounts_test.cpp
+++ b/tests/proxy/accounts_test.cpp
@@ -391,7 +391,7 @@
 // without their account during an upgrade.
 TEST_CASE_FIXTURE(ProxyFixture,
                   "lease of another daemon, names no account, is refused") {
-  RelayServer server(TargetGroups);
+  RelayServer server(TargetGroups, ProcessId{1});
   messages::BeginLease message;
   message.Request.Target = TargetName("p");
   message.First.Statements.resize(1);
--- a/tests/proxy/lease_message_test.cpp
+++ b/tests/proxy/lease_message_test.cpp
@@ -26,7 +26,7 @@
   messages::LeaseAnswer answer;
   answer.Result.End = BatchEnd::Complete;
   answer.Result.LeaseKept = true;
-  answer.Lease = {7};
+  answer.Lease = {{3}, {7}};
   answer.Result.Load = {12, std::chrono::milliseconds(40)};
   answer.Result.RetryAfter = std::chrono::milliseconds(300);
   answer.Result.Answers.resize(1);
--- a/tools/lease_corpus.cpp
+++ b/tools/lease_corpus.cpp
@@ -49,9 +49,10 @@
                                                std::chrono::milliseconds(100),
                                                std::chrono::milliseconds(500)},
                                               makeBatch()}));
-  write(folder + "run", messages::encode(messages::RunLease{{7}, makeBatch()}));
+  write(folder + "run",
+        messages::encode(messages::RunLease{{{3}, {7}}, makeBatch()}));
   write(folder + "answer",
-        messages::encode(messages::LeaseAnswer{makeResult(), {7}}));
+        messages::encode(messages::LeaseAnswer{makeResult(), {{3}, {7}}}));
   write(folder + "copy", messages::encode(messages::SnapshotAnswer{
                              9, {{"a", {"a", "{}", 3, false}}}}));
   return 0;
