Object cache: all objects come from another daemon where its history is gone

Callers of a region that starts saw late configurations. Cause: a daemon that has the members from the first watcher then watches at another one, whose history begins with a later list. It was told that its history is gone, and listed the store, as did all 490 of a region. Now all objects are fetched from that daemon, and replace what is cached; the store is listed only if it fails or has older ones. Evidence: 'history gone at another daemon, all objects are fetched from it and not from the store' failed on the code before.

--- a/src/proxy/object_cache.cpp
+++ b/src/proxy/object_cache.cpp
@@ -84,6 +84,29 @@
   handleChanges(changes);
 }
 
+/// Fetches all objects from another daemon, or else from the store. Daemons
+/// that start together lack the history of each other.
+void ObjectCache::fetchAll() {
+  dropPendingCalls();
+  MustList = true;
+  SharedPending = true;
+  auto answered = [this, round = Round](const ObjectChanges &changes) {
+    if (round != Round)
+      return;
+    SharedPending = false;
+    if (changes.Outcome != ReadOutcome::Done || changes.Revision < Revision) {
+      refresh();
+      return;
+    }
+    Listing all{{}, changes.Revision, Time.now() - changes.Age};
+    for (const auto &it : changes.Objects)
+      all.All[it.Name] = it;
+    handleList(std::move(all));
+  };
+  if (!Source.watchShared(Options.Kind, 0, limits::OutageWatchWait, answered))
+    refresh();
+}
+
 void ObjectCache::listIfDue() {
   if (Source.isStoreCallDue(Options.Kind))
     startList();
@@ -197,7 +220,7 @@
 
 void ObjectCache::handleChanges(const ObjectChanges &changes) {
   if (changes.Outcome == ReadOutcome::Gone) {
-    refresh();
+    fetchAll();
     return;
   }
   if (changes.Outcome != ReadOutcome::Done) {
--- a/src/proxy/object_cache.h
+++ b/src/proxy/object_cache.h
@@ -217,6 +217,7 @@
   void dropPendingCalls();
   void startResync();
   void handleSharedChanges(const ObjectChanges &changes);
+  void fetchAll();
   void listIfDue();
   void listPage(const ListingPtr &listing, const std::string &after);
   void handlePage(const ListingPtr &listing, ObjectPage page);
--- a/tests/proxy/object_cache_test.cpp
+++ b/tests/proxy/object_cache_test.cpp
@@ -24,8 +24,19 @@
     Wait = wait;
     Watch = std::move(done);
   }
+  bool watchShared(const std::string &, std::uint64_t revision, milliseconds,
+                   const OnChanges &done) override {
+    SharedFrom.push_back(revision);
+    if (HasWatcher)
+      Shared = done;
+    return HasWatcher;
+  }
   bool isReceiving(const std::string &) const override { return Receiving; }
 
+  bool HasWatcher = false; ///< Whether another daemon can be called.
+  OnChanges Shared;
+  std::vector<std::uint64_t> SharedFrom;
+
   bool Receiving = false;
   std::vector<std::string> After;
   std::vector<OnPage> Lists;
@@ -98,6 +109,40 @@
   CHECK(Source.WatchedFrom == 11);
 }
 
+// Guards against a list of the store by each daemon that called two watchers
+// which have started one after the other.
+TEST_CASE_FIXTURE(MirrorFixture,
+                  "history gone at another daemon, all objects are fetched "
+                  "from it and not from the store") {
+  Source.Lists[0](page({object("a", 3), object("b", 4)}, 10));
+  auto lists = Source.Lists.size();
+  Source.HasWatcher = true;
+  Source.Watch({ReadOutcome::Gone, {}, false, 0});
+  CHECK(Source.SharedFrom.back() == 0);
+  Source.Shared(page({object("b", 4), object("c", 12)}, 12));
+  CHECK(Source.Lists.size() == lists);
+  CHECK_FALSE(Seen.contains("a"));
+  CHECK(Seen.contains("c"));
+  CHECK(Cache.revision() == 12);
+  CHECK(Source.WatchedFrom == 12);
+}
+
+TEST_CASE_FIXTURE(MirrorFixture,
+                  "history gone at another daemon, which then fails or has "
+                  "older objects, the store is listed") {
+  for (const auto &answer : {ObjectPage{}, page({object("a", 2)}, 9)}) {
+    Source.HasWatcher = false;
+    Cache.refresh();
+    Source.Lists.back()(page({object("a", 3)}, 10));
+    auto lists = Source.Lists.size();
+    Source.HasWatcher = true;
+    Source.Watch({ReadOutcome::Gone, {}, false, 0});
+    Source.Shared(answer);
+    CHECK(Source.Lists.size() == lists + 1);
+    CHECK(Cache.revision() == 10);
+  }
+}
+
 // Guards against callers that find no target after an outage: the entries
 // expired during it, and their writers return shortly after it.
 TEST_CASE_FIXTURE(MirrorFixture,
