--- a/include/peridotfall/limits.h
+++ b/include/peridotfall/limits.h
@@ -25,6 +25,9 @@
 /// Levels of arrays and objects in one JSON text. Writing a value recurses once
 /// a level.
 inline constexpr std::size_t MaxJsonDepth = 64;
+/// Elements of one array, or fields of one object, in a JSON text of which only
+/// a part can be read.
+inline constexpr std::size_t MaxJsonParts = 1 << 16;
 /// Concurrent HTTP/2 streams on one caller connection.
 inline constexpr std::uint32_t MaxCallerStreams = 128;
 /// Concurrent HTTP/2 streams on one connection between daemons.
