--- a/tests/adapter/entries_test.cpp
+++ b/tests/adapter/entries_test.cpp
@@ -51,6 +51,19 @@
   CHECK(it.value().ClaimsPrimary);
 }
 
+// Guards against a number that is converted to a meaningless one.
+TEST_CASE("target entry, number of slots out of range, has the default") {
+  for (const char *slots : {"1e300", "4294967296", "-1", "\"many\""}) {
+    CAPTURE(slots);
+    auto it = parseTarget(
+        makeObject(entryWith("\"slots\":2",
+                             ("\"slots\":" + std::string(slots)).c_str())),
+        Regions);
+    REQUIRE(it);
+    CHECK(it.value().Slots == 1);
+  }
+}
+
 TEST_CASE("target entry, malformed, is rejected") {
   for (const auto &it :
        {std::string("not json"), std::string("[]"), std::string("null"),
