Failover: more promotion numbers are reserved also when none is left

What callers saw: no case. If all reserved numbers were used up while the store took no write, nothing was promoted until another daemon became failover leader. Cause: the number of those left was subtracted from the last one without regard to its sign; with none left it is the largest number there is, and no more were reserved. Evidence: 'all reserved numbers used up, more are reserved' failed before.

--- a/src/proxy/failover_controller.cpp
+++ b/src/proxy/failover_controller.cpp
@@ -85,7 +85,8 @@
   if (!RecordKnown || Writing)
     return;
   if (isLeader()) {
-    if (Record->Last - NextNumber < limits::MinNumbersLeft && now >= NextClaim)
+    // NextNumber is Last + 1 once all are used.
+    if (NextNumber + limits::MinNumbersLeft > Record->Last && now >= NextClaim)
       reserveNumbers();
     return;
   }
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -421,3 +421,31 @@
   run(milliseconds(100));
   CHECK(Calls.Promotions.empty());
 }
+
+// Guards against a group without a primary until another daemon leads: all
+// reserved numbers were used up while the store took no write.
+TEST_CASE_FIXTURE(FailoverControllerFixture,
+                  "all reserved numbers used up, more are reserved") {
+  Failover.updateMembers({member("vm", Incarnation)});
+  Failover.handleRecord(LeadershipRecord{VmName("vm"), Incarnation, 11, 11}, 5);
+  run(milliseconds(1'000));
+  // The store refuses, and the record is as it was.
+  auto refuseWrite = [this] {
+    if (!std::exchange(Calls.Written, std::nullopt))
+      return;
+    Failover.handleWritten(CallOutcome::Refused);
+    Failover.handleRecord(LeadershipRecord{VmName("vm"), Incarnation, 11, 11},
+                          5);
+  };
+  refuseWrite();
+  crashPrimary();
+  run(milliseconds(680));
+  refuseWrite();
+  reportFromPeers({8, 0});
+  run(milliseconds(100));
+  REQUIRE(Calls.choices().size() == 1);
+  refuseWrite();
+  run(milliseconds(1'000));
+  REQUIRE(Calls.Written);
+  CHECK(Calls.Written->Last > 11);
+}
