Groups: a target's limit counts from when it began to leave

Cause: the time was counted from when this daemon saw the group's primary as leaving, which says nothing of a target that was leaving before. Fix: it is kept for each target. The list does not tell since when a target that is first seen as leaving has been so; it gets no writes. Evidence: 'primary leaving since an unknown time, gets no writes' and 'leaving replica becomes primary, its limit counts from when it began to leave' failed before.

--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -178,6 +178,7 @@
     removeEntry(groupOf(known->second.Group).Targets, name);
     touched.insert(known->second.Group);
     Targets.erase(known);
+    LeavingSince.erase(name);
     Ranks.forget(name);
     auto it = Accesses.find(name);
     if (it == Accesses.end())
@@ -202,6 +203,7 @@
     removeEntry(groupOf(known->second.Group).Targets, entry.Name);
     touched.insert(known->second.Group);
   }
+  noteLeaving(entry, isNew ? nullptr : &known->second);
   Targets[entry.Name] = entry;
   putEntry(groupOf(entry.Group).Targets, entry);
   if (isReplaced)
@@ -382,8 +384,7 @@
   auto it = Targets.find(*leader);
   if (it == Targets.end())
     return std::nullopt;
-  if (it->second.Leaving && group.LeavingSince &&
-      !acceptsWorkWhileLeaving(Time.now() - *group.LeavingSince))
+  if (it->second.Leaving && !acceptsWorkWhileLeaving(*leader))
     return std::nullopt;
   return leader;
 }
@@ -401,11 +402,26 @@
 /// At first writes are held, since one may be missing from the new primary's
 /// log. If no new primary is found in that time, the old one accepts work again
 /// until the limit for a leaving target.
-bool Groups::acceptsWorkWhileLeaving(Duration leaving) const {
+bool Groups::acceptsWorkWhileLeaving(const TargetName &primary) const {
+  auto it = LeavingSince.find(primary);
+  if (it == LeavingSince.end() || !it->second)
+    return false;
+  auto leaving = Time.now() - *it->second;
   return leaving >= limits::HandoverHold &&
          leaving < LeavingLimit - limits::LeavingReserve;
 }
 
+/// The list does not tell since when a target has been leaving. One that was
+/// leaving before this daemon saw it may be past its limit.
+void Groups::noteLeaving(const TargetEntry &entry, const TargetEntry *known) {
+  if (!entry.Leaving)
+    LeavingSince.erase(entry.Name);
+  else if (!known || !isSameProcess(*known, entry))
+    LeavingSince[entry.Name] = std::nullopt;
+  else
+    LeavingSince.try_emplace(entry.Name, Time.now());
+}
+
 Distance Groups::distanceTo(const TargetEntry &target) const {
   if (target.Domain == Self.Domain)
     return Distance::SameDomain;
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -122,7 +122,8 @@
   TimePoint NextMissingReport{};
   /// When the primary became unknown or unreachable.
   std::optional<TimePoint> LeaderMissingSince;
-  /// When the primary was first seen as leaving.
+  /// When the primary was first seen as leaving. It may have been leaving
+  /// before it became primary.
   std::optional<TimePoint> LeavingSince;
   PrimaryAbsences Absences;
   /// When one of its targets last refused work because of load.
@@ -239,8 +240,9 @@
                    OnBatch done);
   /// Fails a batch that has no connection, at the next tick.
   void failLater(OnBatch done);
-  /// \param leaving time since the primary was first seen as leaving.
-  bool acceptsWorkWhileLeaving(Duration leaving) const;
+  bool acceptsWorkWhileLeaving(const TargetName &primary) const;
+  /// \param known its entry so far; null if it was not listed.
+  void noteLeaving(const TargetEntry &entry, const TargetEntry *known);
   void queryLeader(const TargetName &target);
   /// Queries the applied positions of replicas that are known to lag.
   void queryApplied(Group &group, TimePoint now);
@@ -262,6 +264,9 @@
   std::vector<OnBatch> UnservedBatches;
   std::uint64_t Seed = 1;
   TargetList Targets;
+  /// When each leaving target was first seen as leaving; empty if it was when
+  /// this daemon first saw it.
+  std::map<TargetName, std::optional<TimePoint>> LeavingSince;
   /// Shared with leases in progress, which may outlive this object.
   std::shared_ptr<AccessTable> SharedAccesses = std::make_shared<AccessTable>();
   /// Of the targets in use.
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -341,6 +341,45 @@
   }
 }
 
+// Guards against writes at a primary that has been leaving for longer than this
+// daemon has run, or than it has been primary.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "primary leaving since an unknown time, gets no writes") {
+  TargetGroups.setLeavingLimit(milliseconds(7'000));
+  auto first = Entries;
+  first.at(TargetName("p")).Leaving = true;
+  Groups fresh({VmName("vm"), DomainName("press"), RegionName("tartu")}, Links,
+               Relay, Time);
+  fresh.applySettings({{GroupName("ledger"), {16, false}}});
+  fresh.updateTargets(first);
+  for (unsigned n = 0; n < 10; ++n) {
+    pass(milliseconds(1'000));
+    fresh.tick();
+    CHECK_FALSE(fresh.writablePrimary(*fresh.find(GroupName("ledger"))));
+  }
+}
+
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "leaving replica becomes primary, its limit counts from "
+                  "when it began to leave") {
+  TargetGroups.setLeavingLimit(milliseconds(7'000));
+  auto isWritable = [this] {
+    return TargetGroups.writablePrimary(*TargetGroups.find(GroupName("ledger")))
+        .has_value();
+  };
+  auto &next = Entries.at(TargetName("s"));
+  next.Leaving = true;
+  TargetGroups.updateTargets(Entries);
+  pass(milliseconds(4'000));
+  next.ClaimsPrimary = true;
+  next.Revision = 9;
+  TargetGroups.updateTargets(Entries);
+  pass(milliseconds(1'500));
+  CHECK(isWritable());
+  pass(milliseconds(1'000));
+  CHECK_FALSE(isWritable());
+}
+
 // A new primary serves all reads while the replicas lag, and rejects some as
 // busy. Abandoned after a few quick attempts, a statement would fail with most
 // of its time unused.
