Failover: leaving replicas succeed where commits wait for replicas

Cause: three parts of the code had each its own idea of which replicas count. A leaving one acknowledges commits until it ends, but the failover leader neither asked nor considered it; and it promoted whoever had received most once five seconds were over or the promotion of the one ahead had failed, also in a planned change after 2.5 s. A limit of time or a failed call does not make a replica have the commits. Fix: one function decides, for planned changes and failures: all listed replicas are asked, in one round, and one is promoted only if it has what the leaving primary has or no listed one has more. A leaving primary of such a group gets no writes, since another replica could acknowledge them while one is being promoted. Evidence: of the new tests of the failover controller seven failed on the code before ('replica with all commits leaving', 'replica silent but listed', 'replica receives more during the wait', 'promotion of the only complete replica fails', 'primary leaving, no replica has all its commits', 'caught up replica leaving', 'primary crashes during a planned change'), and 'primary leaving in a group that waits for replicas, gets no writes'.

--- a/src/proxy/failover_controller.cpp
+++ b/src/proxy/failover_controller.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-bool isCandidate(const Group &group, const TargetEntry &it) {
-  return it.Name != group.View.leader() && !it.Leaving;
+bool isReplica(const Group &group, const TargetEntry &it) {
+  return it.Name != group.View.leader();
 }
 
 } // namespace
@@ -348,9 +348,26 @@
     countChangePart(Metrics, ChangePart::Confirmation, now - change.Since);
   change.CurrentStep = Step::Selecting;
   change.Since = now;
+  change.WaitReported = false;
+  beginRound(change);
+  queryStatus(name, group, change);
+}
+
+void FailoverController::beginRound(Change &change) {
+  change.Round = ++LastRound;
+  change.RoundAt = Time.now();
   change.Statuses.clear();
   change.PrimaryAt.reset();
   change.Pending.clear();
+}
+
+/// Where the positions decide what is acknowledged, they are compared within
+/// one round: while one replica is silent, the others may receive more.
+void FailoverController::queryAll(const GroupName &name, Group &group,
+                                  Change &change) {
+  if (group.Settings.WaitsForReplica)
+    beginRound(change);
+  change.Statuses.clear();
   queryStatus(name, group, change);
 }
 
@@ -358,7 +375,11 @@
                                      Change &change) {
   for (const auto &it : group.Targets) {
     bool isOldPrimary = change.Planned && it.Name == group.View.leader();
-    bool isWanted = isOldPrimary ? !change.PrimaryAt : isCandidate(group, it);
+    bool isWanted =
+        isOldPrimary
+            ? !change.PrimaryAt
+            : isReplica(group, it) &&
+                  isCandidate(group.Settings.WaitsForReplica, it.Leaving);
     if (!isWanted || change.Statuses.contains(it.Name) ||
         !change.Pending.insert(it.Name).second)
       continue;
@@ -369,11 +390,12 @@
     LeaseRequest request{it.Name, 0, limits::StatusTimeout,
                          2 * limits::StatusTimeout};
     auto target = it.Name;
-    auto received = [this, name, target,
-                     isOldPrimary](const BatchResult &result) {
+    auto received = [this, name, target, isOldPrimary,
+                     round = change.Round](const BatchResult &result) {
       auto found = Changes.find(name);
       if (found == Changes.end() ||
-          found->second.CurrentStep != Step::Selecting)
+          found->second.CurrentStep != Step::Selecting ||
+          found->second.Round != round)
         return;
       found->second.Pending.erase(target);
       if (result.End != BatchEnd::Complete || !result.Answers[0].Status)
@@ -388,9 +410,6 @@
   }
 }
 
-/// Selects the replica that has received most; records that it lacks are lost.
-/// Waits a limited time for the answers of all replicas, and in a planned
-/// change also for a replica to catch up with the primary.
 void FailoverController::selectReplica(const GroupName &name, Group &group,
                                        Change &change, TimePoint now) {
   auto leader = group.View.leader();
@@ -401,45 +420,42 @@
     return;
   }
   auto waited = now - change.Since;
-  if (!change.Pending.empty() && waited < limits::StatusTimeout)
-    return;
-  auto candidates = static_cast<std::size_t>(std::count_if(
-      group.Targets.begin(), group.Targets.end(),
-      [&](const TargetEntry &it) { return isCandidate(group, it); }));
-  auto limit = group.Settings.WaitsForReplica ? limits::SilentSyncReplicaTimeout
-                                              : limits::SilentReplicaTimeout;
-  if (change.Statuses.size() < candidates && waited < limit) {
-    queryStatus(name, group, change);
+  auto begun = group.Settings.WaitsForReplica ? change.RoundAt : change.Since;
+  if (!change.Pending.empty() && now - begun < limits::StatusTimeout)
     return;
-  }
-  const TargetStatus *bestStatus = nullptr;
-  TargetName chosen;
-  for (const auto &[target, status] : change.Statuses) {
-    if (change.FailedTargets.contains(target) && change.Statuses.size() > 1)
-      continue;
-    if (status.IsPrimary ||
-        (bestStatus && status.Received <= bestStatus->Received))
+  PrimaryChange query;
+  query.WaitsForReplica = group.Settings.WaitsForReplica;
+  query.Planned = change.Planned;
+  query.PrimaryAt = change.PrimaryAt;
+  query.LastHead = group.View.lastHead();
+  query.Waited = waited;
+  for (const auto &it : group.Targets) {
+    if (!isReplica(group, it))
       continue;
-    bestStatus = &status;
-    chosen = target;
+    ReplicaReport replica{it.Name, it.Leaving,
+                          change.FailedTargets.contains(it.Name)};
+    if (auto found = change.Statuses.find(it.Name);
+        found != change.Statuses.end())
+      replica.Status = found->second;
+    query.Replicas.push_back(std::move(replica));
   }
-  if (!bestStatus) {
-    change.FailedTargets.clear();
-    change.Statuses.clear();
+  auto decision = selectSuccessor(query);
+  switch (decision.Step) {
+  case SuccessorStep::QueryMissing:
     queryStatus(name, group, change);
-    change.NotBefore = now + limits::PromotionRetryPause;
     return;
-  }
-  std::uint64_t missingRecords = 0;
-  if (auto last = std::max(group.View.lastHead(), change.PrimaryAt);
-      last && last->InTerm == bestStatus->Received.InTerm &&
-      last->Index > bestStatus->Received.Index)
-    missingRecords = last->Index - bestStatus->Received.Index;
-  if (change.Planned && missingRecords > 0 && waited < limits::CatchUpTimeout) {
-    change.Statuses.clear();
-    queryStatus(name, group, change);
-    change.NotBefore = now + milliseconds(50);
+  case SuccessorStep::QueryAll:
+    reportWait(name, query, change);
+    queryAll(name, group, change);
+    change.NotBefore = now + limits::StatusRoundPause;
+    return;
+  case SuccessorStep::NoneLeft:
+    change.FailedTargets.clear();
+    queryAll(name, group, change);
+    change.NotBefore = now + limits::PromotionRetryPause;
     return;
+  case SuccessorStep::Promote:
+    break;
   }
   if (!isLeader() || NextNumber > Record->Last) {
     telemetry::log(Event::TermsExhausted, {field("group", name.Value)});
@@ -447,21 +463,45 @@
     return;
   }
   Metrics.Promotions->Increment();
-  Metrics.RecordsMissing->Increment(static_cast<double>(missingRecords));
-  change.Chosen = chosen;
+  Metrics.RecordsMissing->Increment(
+      static_cast<double>(decision.MissingRecords));
+  change.Chosen = decision.Target;
   change.Number = NextNumber++;
   telemetry::log(
       Event::PromotionDecided,
-      {field("group", name.Value), field("target", chosen.Value),
+      {field("group", name.Value), field("target", decision.Target.Value),
        field("old", leader ? leader->Value : "none"),
        field("planned", change.Planned), field("number", change.Number),
-       field("lacks", missingRecords),
-       field("received", fmt::format("{}.{}", bestStatus->Received.InTerm,
-                                     bestStatus->Received.Index)),
+       field("lacks", decision.MissingRecords),
+       field("received", fmt::format("{}.{}", decision.Received.InTerm,
+                                     decision.Received.Index)),
        field("heard", change.Statuses.size())});
   beginPromotion(name, change);
 }
 
+/// Writes are refused until the replicas named here answer, catch up or are no
+/// longer listed.
+void FailoverController::reportWait(const GroupName &name,
+                                    const PrimaryChange &query,
+                                    Change &change) {
+  if (change.WaitReported || query.Waited < limits::SuccessorReportDelay)
+    return;
+  change.WaitReported = true;
+  std::string silent;
+  for (const auto &it : query.Replicas)
+    if (!it.Status)
+      silent += (silent.empty() ? "" : ",") + it.Name.Value;
+  telemetry::log(
+      Event::SuccessorAwaited,
+      {field("group", name.Value), field("planned", query.Planned),
+       field("silent", silent.empty() ? "none" : silent),
+       field("heard", change.Statuses.size()),
+       field("primary_at", query.PrimaryAt
+                               ? fmt::format("{}.{}", query.PrimaryAt->InTerm,
+                                             query.PrimaryAt->Index)
+                               : "-")});
+}
+
 void FailoverController::beginPromotion(const GroupName &name, Change &change) {
   auto now = Time.now();
   countChangePart(Metrics, ChangePart::Selection, now - change.Since);
--- a/src/proxy/failover_controller.h
+++ b/src/proxy/failover_controller.h
@@ -9,6 +9,7 @@
 #include "peridotfall/membership.h"
 #include "proxy/groups.h"
 #include "proxy/metrics.h"
+#include "proxy/successor.h"
 
 #include <map>
 #include <optional>
@@ -31,16 +32,6 @@
 inline constexpr milliseconds PeerReportTimeout{400};
 /// For the replicas' answers on how much of the log they have received.
 inline constexpr milliseconds StatusTimeout{200};
-/// Longest wait for a replica that does not report its position. Without the
-/// wait, a short pause of that replica loses acknowledged records that only it
-/// has. Long enough for one lost packet and its retransmission.
-inline constexpr milliseconds SilentReplicaTimeout{700};
-/// The same in a group whose commits are acknowledged once one replica has
-/// them, since that can be any replica. Longer than the time after which the
-/// entry of a permanently lost target is removed, which also ends the wait.
-inline constexpr milliseconds SilentSyncReplicaTimeout{5'000};
-/// Longest wait for a replica to receive all records of a leaving primary.
-inline constexpr milliseconds CatchUpTimeout{2'500};
 /// Delay between seeing a primary as leaving and selecting its successor. By
 /// then the writes are answered that other daemons sent before they saw it.
 inline constexpr milliseconds HandoverDelay{120};
@@ -56,6 +47,10 @@
 inline constexpr unsigned MaxPromotionCalls = 3;
 /// After a failed promotion.
 inline constexpr milliseconds PromotionRetryPause{200};
+/// Between two rounds of queries of all replicas.
+inline constexpr milliseconds StatusRoundPause{50};
+/// A promotion that waits longer than this for a replica is reported.
+inline constexpr milliseconds SuccessorReportDelay{1'000};
 /// Failed primaries replaced at once. The platform takes 50 promotions a
 /// second, and a change takes about one; each asks MaxPeersQueried daemons.
 inline constexpr std::size_t MaxParallelChanges = 64;
@@ -178,6 +173,10 @@
     std::optional<PeerReports> Reports;
     ListState TargetList = ListState::None;
     std::map<TargetName, TargetStatus> Statuses;
+    /// Of queries of all replicas. Answers to earlier rounds are ignored.
+    std::uint64_t Round = 0;
+    TimePoint RoundAt{};
+    bool WaitReported = false;
     /// Of a leaving primary. This daemon may not have used the group.
     std::optional<Position> PrimaryAt;
     std::set<TargetName> Pending;
@@ -208,8 +207,12 @@
                       TimePoint now);
   void beginSelection(const GroupName &name, Group &group, Change &change);
   void queryStatus(const GroupName &name, Group &group, Change &change);
+  void beginRound(Change &change);
+  void queryAll(const GroupName &name, Group &group, Change &change);
   void selectReplica(const GroupName &name, Group &group, Change &change,
                      TimePoint now);
+  void reportWait(const GroupName &name, const PrimaryChange &query,
+                  Change &change);
   void beginPromotion(const GroupName &name, Change &change);
   void sendPromotion(const GroupName &name, Change &change);
 
@@ -224,6 +227,7 @@
   bool RecordKnown = false; ///< Record is up to date, also if empty.
   bool Writing = false;
   std::uint64_t NextNumber = 0;
+  std::uint64_t LastRound = 0;
   std::vector<Member> Live;
   /// Of the present members, once it was computed.
   std::optional<std::optional<std::size_t>> TakeoverRank;
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -384,7 +384,7 @@
   auto it = Targets.find(*leader);
   if (it == Targets.end())
     return std::nullopt;
-  if (it->second.Leaving && !acceptsWorkWhileLeaving(*leader))
+  if (it->second.Leaving && !acceptsWorkWhileLeaving(group, *leader))
     return std::nullopt;
   return leader;
 }
@@ -401,10 +401,12 @@
 
 /// At first writes are held, since one may be missing from the new primary's
 /// log. If no new primary is found in that time, the old one accepts work again
-/// until the limit for a leaving target.
-bool Groups::acceptsWorkWhileLeaving(const TargetName &primary) const {
+/// until the limit for a leaving target; not where commits wait for replicas,
+/// as a replica that does not have them may be promoted at any time.
+bool Groups::acceptsWorkWhileLeaving(const Group &group,
+                                     const TargetName &primary) const {
   auto it = LeavingSince.find(primary);
-  if (it == LeavingSince.end() || !it->second)
+  if (group.Settings.WaitsForReplica || it == LeavingSince.end() || !it->second)
     return false;
   auto leaving = Time.now() - *it->second;
   return leaving >= limits::HandoverHold &&
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -240,7 +240,8 @@
                    OnBatch done);
   /// Fails a batch that has no connection, at the next tick.
   void failLater(OnBatch done);
-  bool acceptsWorkWhileLeaving(const TargetName &primary) const;
+  bool acceptsWorkWhileLeaving(const Group &group,
+                               const TargetName &primary) const;
   /// \param known its entry so far; null if it was not listed.
   void noteLeaving(const TargetEntry &entry, const TargetEntry *known);
   void queryLeader(const TargetName &target);
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -422,6 +422,170 @@
   CHECK(Calls.Promotions.empty());
 }
 
+/// Commits are acknowledged once one replica has them.
+struct SynchronousGroupFixture : FailoverControllerFixture {
+  SynchronousGroupFixture() {
+    TargetGroups.applySettings({{GroupName("ledger"), {16, true}}});
+  }
+  void setLeaving(const char *target) {
+    Entries.at(TargetName(target)).Leaving = true;
+    TargetGroups.updateTargets(Entries);
+  }
+  void removeEntry(const char *target) {
+    Entries.erase(TargetName(target));
+    TargetGroups.updateTargets(Entries);
+  }
+  /// The primary crashes, and its failure is confirmed.
+  void losePrimary() {
+    crashPrimary();
+    run(milliseconds(680));
+    reportFromPeers({8, 0});
+  }
+};
+
+// Guards against the loss of acknowledged commits: the only replica that has
+// them is leaving, and another one has received nothing.
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "replica with all commits leaving, it is promoted") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  setLeaving("s");
+  losePrimary();
+  run(milliseconds(100));
+  CHECK(Calls.choices() ==
+        std::vector<FakeCalls::Promotion>{{TargetName("s"), 11}});
+}
+
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "two replicas with all commits, the one that stays is "
+                  "promoted") {
+  Received["r"] = Received["s"];
+  becomeLeader();
+  run(milliseconds(1'000));
+  setLeaving("s");
+  losePrimary();
+  run(milliseconds(100));
+  CHECK(Calls.choices() ==
+        std::vector<FakeCalls::Promotion>{{TargetName("r"), 11}});
+}
+
+// Guards against the loss of acknowledged commits: a limit of time does not
+// make a replica have them.
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "replica silent but listed, promotion waits as long as it "
+                  "is listed") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  Silent = {"s"};
+  losePrimary();
+  run(std::chrono::seconds(20));
+  CHECK(Calls.Promotions.empty());
+  removeEntry("s");
+  run(milliseconds(700));
+  REQUIRE(Calls.choices().size() == 1);
+  CHECK(Calls.choices()[0].Target.Value == "r");
+}
+
+// Guards against positions of different times: while one replica is silent,
+// another one receives more.
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "replica receives more during the wait for another, it is "
+                  "promoted") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  Silent = {"s"};
+  losePrimary();
+  run(milliseconds(1'000));
+  Received["r"] = {InTerm, 97};
+  run(milliseconds(500));
+  Silent.clear();
+  run(milliseconds(700));
+  REQUIRE(Calls.choices().size() == 1);
+  CHECK(Calls.choices()[0].Target.Value == "r");
+}
+
+// Guards against the promotion of a replica without the commits after the
+// promotion of the one that has them has failed.
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "promotion of the only complete replica fails, it is tried "
+                  "again") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  losePrimary();
+  run(milliseconds(100));
+  REQUIRE(Calls.choices().size() == 1);
+  for (unsigned failures = 0; failures < 3; ++failures) {
+    Failover.handlePromoted(GroupName("ledger"), CallOutcome::Refused);
+    run(milliseconds(300));
+    reportFromPeers({8, 0});
+    run(milliseconds(300));
+  }
+  REQUIRE(Calls.choices().size() > 1);
+  for (const auto &it : Calls.choices())
+    CHECK(it.Target.Value == "s");
+}
+
+// Guards against the loss of acknowledged commits in a planned change: no
+// replica catches up with the leaving primary.
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "primary leaving, no replica has all its commits, none is "
+                  "promoted") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  setLeaving("p");
+  run(std::chrono::seconds(5));
+  CHECK(Calls.Promotions.empty());
+  Received["r"] = Head;
+  run(milliseconds(500));
+  REQUIRE(Calls.choices().size() == 1);
+  CHECK(Calls.choices()[0].Target.Value == "r");
+}
+
+// Guards against a primary and a replica that leave and replace each other in
+// turn.
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "primary leaving, caught up replica leaving, it is not "
+                  "promoted") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  Received["s"] = Head;
+  setLeaving("s");
+  setLeaving("p");
+  run(std::chrono::seconds(3));
+  CHECK(Calls.Promotions.empty());
+}
+
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "primary crashes during a planned change, the leaving "
+                  "replica with its commits is promoted") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  setLeaving("s");
+  setLeaving("p");
+  run(milliseconds(1'000));
+  crashPrimary();
+  run(milliseconds(1'500));
+  REQUIRE(Calls.choices().size() == 1);
+  CHECK(Calls.choices()[0].Target.Value == "s");
+}
+
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "leaving primary ends, replica with most records is "
+                  "promoted") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  setLeaving("p");
+  run(milliseconds(1'000));
+  crashPrimary();
+  removeEntry("p");
+  for (unsigned n = 0; n < 10 && Calls.Promotions.empty(); ++n) {
+    run(milliseconds(200));
+    reportFromPeers({8, 0});
+  }
+  REQUIRE(Calls.choices().size() == 1);
+  CHECK(Calls.choices()[0].Target.Value == "s");
+}
+
 // Guards against a group without a primary until another daemon leads: all
 // reserved numbers were used up while the store took no write.
 TEST_CASE_FIXTURE(FailoverControllerFixture,
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -380,6 +380,22 @@
   CHECK_FALSE(isWritable());
 }
 
+// Guards against the loss of a write that was acknowledged by a replica other
+// than the one that is being promoted.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "primary leaving in a group that waits for replicas, gets no "
+                  "writes") {
+  TargetGroups.applySettings({{GroupName("ledger"), {16, true}}});
+  learnHead();
+  Entries.at(TargetName("p")).Leaving = true;
+  TargetGroups.updateTargets(Entries);
+  for (unsigned n = 0; n < 8; ++n) {
+    pass(milliseconds(1'000));
+    CHECK_FALSE(
+        TargetGroups.writablePrimary(*TargetGroups.find(GroupName("ledger"))));
+  }
+}
+
 // A new primary serves all reads while the replicas lag, and rejects some as
 // busy. Abandoned after a few quick attempts, a statement would fail with most
 // of its time unused.
