Groups: an answer reaches the pool that waits for it

Where a target's entry went and came back, as after an outage of the store, a statement under way on a connection of before was in doubt although its answer had come, and the failed opening of such a connection made the target unreachable for its new entry. Cause: what a connection told was handed to each pool of the target's name in turn; the first one took the answer away, whether or not the connection was its own. The name identifies neither the entry nor the connection: the same class as the lease numbers of a holder that has been restarted. Fix: only the pool that holds the connection is told. Evidence: 'entry goes and comes back, the pending write is answered' fails if the first pool is told without that question. The fixture now moves answers as the adapter does.

--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -287,6 +287,16 @@
   return nullptr;
 }
 
+TargetPool *Groups::poolOf(const TargetName &target, ConnectionId connection) {
+  auto it = Accesses.find(target);
+  if (it != Accesses.end() && it->second.Pool->owns(connection))
+    return it->second.Pool.get();
+  for (auto &retired : Retired)
+    if (retired->owns(connection))
+      return retired.get();
+  return nullptr;
+}
+
 VmName Groups::choosePath(const TargetName &target,
                           const AccountName &account) {
   auto *it = access(target);
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -205,14 +205,13 @@
   /// \return the sums over all targets; of MostByAccount the maximum.
   PoolStats poolStats() const;
 
-  /// Runs \p action on the pools that may hold the target's connections.
+  /// Runs \p action on the pool that holds the connection, if one does. A
+  /// target whose entry went and came back has two pools.
   template <class Action>
-  void withPools(const TargetName &target, Action action) {
-    if (auto it = Accesses.find(target); it != Accesses.end())
-      action(*it->second.Pool);
-    for (auto &it : Retired)
-      if (it->target().Name == target)
-        action(*it);
+  void withPool(const TargetName &target, ConnectionId connection,
+                Action action) {
+    if (auto *it = poolOf(target, connection))
+      action(*it);
   }
 
 private:
@@ -253,6 +252,7 @@
   void probeFailedPaths(TimePoint now);
   Distance distanceTo(const TargetEntry &target) const;
   TargetPool *poolOf(LeaseId lease);
+  TargetPool *poolOf(const TargetName &target, ConnectionId connection);
 
   Locality Self;
   TargetPort &Port;
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -86,6 +86,9 @@
   void run(LeaseId lease, Batch next, OnBatch done);
   void abandon(LeaseId lease);
   bool owns(LeaseId lease) const;
+  bool owns(ConnectionId connection) const {
+    return Connections.contains(connection);
+  }
   /// \return whether the lease has a connection and runs no batch.
   bool isAwaitingBatch(LeaseId lease) const;
 
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -101,7 +101,7 @@
     for (auto id : opening) {
       auto target = Links.Connections.at(id).Target;
       bool up = answers(target.Value);
-      TargetGroups.withPools(target, [&](TargetPool &pool) {
+      TargetGroups.withPool(target, id, [&](TargetPool &pool) {
         if (up)
           pool.opened(id);
         else
@@ -135,8 +135,8 @@
       if (it.Open && it.Target.Value == "p")
         open.push_back(id);
     for (auto id : open)
-      TargetGroups.withPools(TargetName("p"),
-                             [&](TargetPool &pool) { pool.closed(id); });
+      TargetGroups.withPool(TargetName("p"), id,
+                            [&](TargetPool &pool) { pool.closed(id); });
   }
   /// The primary crashes and the failover leader suspects it.
   void suspectPrimary() {
--- a/tests/proxy/fixture.h
+++ b/tests/proxy/fixture.h
@@ -170,8 +170,8 @@
     while (!Links.Opening.empty()) {
       auto id = Links.Opening.back();
       Links.Opening.pop_back();
-      TargetGroups.withPools(Links.Connections.at(id).Target,
-                             [&](TargetPool &pool) { pool.opened(id); });
+      TargetGroups.withPool(Links.Connections.at(id).Target, id,
+                            [&](TargetPool &pool) { pool.opened(id); });
     }
   }
   /// \return a connection to the target with an unanswered statement.
@@ -187,8 +187,9 @@
     REQUIRE_FALSE(line.Unanswered.empty());
     auto out = line.Unanswered.front();
     line.Unanswered.pop_front();
-    TargetGroups.withPools(
-        line.Target, [&](TargetPool &pool) { pool.answered(id, answer); });
+    TargetGroups.withPool(line.Target, id, [&](TargetPool &pool) {
+      pool.answered(id, std::move(answer));
+    });
     return out;
   }
   Answer success(const Statement &it, TransactionState state) const {
--- a/tests/proxy/hedged_reads_test.cpp
+++ b/tests/proxy/hedged_reads_test.cpp
@@ -41,8 +41,8 @@
   }
   void breakConnection(const std::string &target) {
     auto id = *busyAt(target.c_str());
-    TargetGroups.withPools(TargetName(target),
-                           [&](TargetPool &pool) { pool.closed(id); });
+    TargetGroups.withPool(TargetName(target), id,
+                          [&](TargetPool &pool) { pool.closed(id); });
   }
   bool allIdle() {
     auto stats = TargetGroups.poolStats();
--- a/tests/proxy/logs_test.cpp
+++ b/tests/proxy/logs_test.cpp
@@ -70,8 +70,8 @@
   Callers.statement(caller, it);
   completeHandshakes();
   auto id = *busyAt("p");
-  TargetGroups.withPools(TargetName("p"),
-                         [&](TargetPool &pool) { pool.closed(id); });
+  TargetGroups.withPool(TargetName("p"), id,
+                        [&](TargetPool &pool) { pool.closed(id); });
   CHECK(last(caller).Error->Kind == ErrorKind::InDoubt);
   auto lines = timeline("mine");
   CHECK(std::find(lines.begin(), lines.end(),
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -113,8 +113,8 @@
   send(caller, StatementKind::Write, "WRITE a x");
   completeHandshakes();
   auto id = *busyAt("p");
-  TargetGroups.withPools(TargetName("p"),
-                         [&](TargetPool &pool) { pool.closed(id); });
+  TargetGroups.withPool(TargetName("p"), id,
+                        [&](TargetPool &pool) { pool.closed(id); });
   CHECK(last(caller).Error->Kind == ErrorKind::InDoubt);
   CHECK(last(caller).State == TransactionState::Idle);
 }
@@ -130,8 +130,8 @@
   serve("p", TransactionState::Open);
   send(caller, StatementKind::Write, "WRITE b x");
   auto id = *busyAt("p");
-  TargetGroups.withPools(TargetName("p"),
-                         [&](TargetPool &pool) { pool.closed(id); });
+  TargetGroups.withPool(TargetName("p"), id,
+                        [&](TargetPool &pool) { pool.closed(id); });
   CHECK(last(caller).Error->Kind == ErrorKind::Aborted);
   CHECK(last(caller).State == TransactionState::Failed);
   send(caller, StatementKind::Rollback);
@@ -147,8 +147,8 @@
   serve("p", TransactionState::Open);
   send(caller, StatementKind::Commit, "COMMIT");
   auto id = *busyAt("p");
-  TargetGroups.withPools(TargetName("p"),
-                         [&](TargetPool &pool) { pool.closed(id); });
+  TargetGroups.withPool(TargetName("p"), id,
+                        [&](TargetPool &pool) { pool.closed(id); });
   CHECK(last(caller).Error->Kind == ErrorKind::InDoubt);
 }
 
@@ -300,6 +300,27 @@
   CHECK(Links.Connections.size() == 2);
 }
 
+// Guards against an answer that is lost, and a write in doubt, where the store
+// dropped an entry for a moment.
+TEST_CASE_FIXTURE(ProxyFixture,
+                  "entry goes and comes back, the pending write is answered") {
+  auto caller = session("orders");
+  send(caller, StatementKind::Write, "WRITE a x");
+  completeHandshakes();
+  auto id = *busyAt("p");
+  auto without = Entries;
+  without.erase(TargetName("p"));
+  TargetGroups.updateTargets(without);
+  TargetGroups.updateTargets(Entries);
+  auto other = session("orders");
+  send(other, StatementKind::Write, "WRITE b x");
+  pass(milliseconds(20));
+  answer(id, success(Links.Connections.at(id).Unanswered.front(),
+                     TransactionState::Idle));
+  CHECK(last(caller).ok());
+  CHECK(last(caller).Signature != "");
+}
+
 // A leaving replica gets no new statements; reads go to another target.
 TEST_CASE_FIXTURE(ProxyFixture, "replica leaving, reads go elsewhere") {
   learnHead();
@@ -440,8 +461,8 @@
   serve("p", TransactionState::Open);
   REQUIRE(last(caller).ok());
   auto id = Links.Connections.begin()->first;
-  TargetGroups.withPools(TargetName("p"),
-                         [&](TargetPool &pool) { pool.closed(id); });
+  TargetGroups.withPool(TargetName("p"), id,
+                        [&](TargetPool &pool) { pool.closed(id); });
   send(caller, StatementKind::Write, "WRITE b x");
   pass(milliseconds(100));
   CHECK(last(caller).Error->Kind == ErrorKind::Aborted);
@@ -457,8 +478,8 @@
   send(caller, StatementKind::Write, "WRITE a x");
   serve("p", TransactionState::Open);
   auto id = Links.Connections.begin()->first;
-  TargetGroups.withPools(TargetName("p"),
-                         [&](TargetPool &pool) { pool.closed(id); });
+  TargetGroups.withPool(TargetName("p"), id,
+                        [&](TargetPool &pool) { pool.closed(id); });
   send(caller, StatementKind::Commit, "COMMIT");
   pass(milliseconds(100));
   CHECK(last(caller).Error->Kind == ErrorKind::Aborted);
