--- a/src/proxy/successor.cpp
+++ b/src/proxy/successor.cpp
@@ -64,24 +64,24 @@
 
 /// Of a group whose commits wait for a replica.
 SuccessorDecision selectComplete(const PrimaryChange &change) {
-  const SuccessorDecision Wait{SuccessorStep::QueryAll};
+  const SuccessorDecision wait{SuccessorStep::QueryAll};
   // The group has a primary already, which the list does not name yet.
   for (const auto &it : change.Replicas)
     if (it.Status && it.Status->IsPrimary)
-      return Wait;
+      return wait;
   if (change.Planned && change.PrimaryAt) {
     const auto *it = findComplete(change, *change.PrimaryAt, false);
-    return it ? promote(change, *it) : Wait;
+    return it ? promote(change, *it) : wait;
   }
   if (change.Planned && change.Waited < limits::SilentReplicaTimeout)
-    return Wait;
+    return wait;
   if (change.Replicas.empty())
     return {SuccessorStep::NoneLeft};
   // Any replica may be the only one that has the last acknowledged commits.
   Position most;
   for (const auto &it : change.Replicas) {
     if (!it.Status)
-      return Wait;
+      return wait;
     most = std::max(most, it.Status->Received);
   }
   return promote(change, *findComplete(change, most, true));
