--- a/tests/proxy/successor_test.cpp
+++ b/tests/proxy/successor_test.cpp
@@ -31,7 +31,7 @@
   Duration Waited{};
 };
 
-constexpr std::size_t ReplicaStates = 3 * 2 * 2 * 3;
+constexpr std::size_t ReplicaStates = std::size_t{3} * 2 * 2 * 3;
 
 Replica replicaOf(std::size_t n) {
   constexpr Position Positions[] = {Behind, Acknowledged, Ahead};
