Failover: waits for a primary that alone may still have the last commits

The primary was back with its log seven seconds after the crash. Cause: once the replica that acknowledged them was no longer listed, the others were all that could be asked, and the most advanced of them was taken although the last head known from the primary showed what it lacked. Fix: the last known head is kept when a replica is lost or restarted. While no listed replica has as much, the group waits for one to catch up or for the primary; 30 s at most, after which both are treated as gone. The earlier test of a silent replica that leaves the list now runs for 40 s in place of 20 s before that, so that the limit has passed.

--- a/src/proxy/failover_controller.cpp
+++ b/src/proxy/failover_controller.cpp
@@ -428,6 +428,7 @@
   query.Planned = change.Planned;
   query.PrimaryAt = change.PrimaryAt;
   query.LastHead = group.View.lastHead();
+  query.HeadAtLoss = group.HeadAtLoss;
   query.Waited = waited;
   for (const auto &it : group.Targets) {
     if (!isReplica(group, it))
@@ -480,7 +481,7 @@
 }
 
 /// Writes are refused until the replicas named here answer, catch up or are no
-/// longer listed.
+/// longer listed, or the primary is back.
 void FailoverController::reportWait(const GroupName &name,
                                     const PrimaryChange &query,
                                     Change &change) {
--- a/src/proxy/group_view.h
+++ b/src/proxy/group_view.h
@@ -43,6 +43,8 @@
   std::optional<TimePoint> lastConfirmed() const { return ConfirmedAt; }
   /// \return the last position seen of the primary's log.
   std::optional<Position> lastHead() const;
+  /// \return the primary of that log.
+  const TargetName &headSource() const { return SampledLeader; }
   /// \return the lowest known position that includes every commit acknowledged
   /// longer than \p maxAge ago; empty if all samples are older than that.
   std::optional<Position> positionFor(Duration maxAge, TimePoint now) const;
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -175,6 +175,7 @@
       continue;
     telemetry::log(Event::TargetGone,
                    {field("target", name.Value), field("replaced", "no")});
+    noteLost(known->second);
     removeEntry(groupOf(known->second.Group).Targets, name);
     touched.insert(known->second.Group);
     Targets.erase(known);
@@ -203,6 +204,8 @@
     removeEntry(groupOf(known->second.Group).Targets, entry.Name);
     touched.insert(known->second.Group);
   }
+  if (isReplaced)
+    noteLost(known->second);
   noteLeaving(entry, isNew ? nullptr : &known->second);
   Targets[entry.Name] = entry;
   putEntry(groupOf(entry.Group).Targets, entry);
@@ -423,6 +426,12 @@
          leaving < LeavingLimit - limits::LeavingReserve;
 }
 
+void Groups::noteLost(const TargetEntry &entry) {
+  auto &group = groupOf(entry.Group);
+  if (group.View.headSource() != entry.Name)
+    group.HeadAtLoss = std::max(group.HeadAtLoss, group.View.lastHead());
+}
+
 /// The list does not tell since when a target has been leaving. One that was
 /// leaving before this daemon saw it may be past its limit.
 void Groups::noteLeaving(const TargetEntry &entry, const TargetEntry *known) {
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -125,6 +125,9 @@
   /// When the primary was first seen as leaving. It may have been leaving
   /// before it became primary.
   std::optional<TimePoint> LeavingSince;
+  /// Last known head of the primary's log when a replica was last lost, also by
+  /// a restart.
+  std::optional<Position> HeadAtLoss;
   PrimaryAbsences Absences;
   /// When one of its targets last refused work because of load.
   std::optional<TimePoint> BusyAt;
@@ -241,6 +244,8 @@
   void failLater(OnBatch done);
   bool acceptsWorkWhileLeaving(const Group &group,
                                const TargetName &primary) const;
+  /// The target is gone, or another process has taken its name.
+  void noteLost(const TargetEntry &entry);
   /// \param known its entry so far; null if it was not listed.
   void noteLeaving(const TargetEntry &entry, const TargetEntry *known);
   void queryLeader(const TargetName &target);
--- a/src/proxy/successor.cpp
+++ b/src/proxy/successor.cpp
@@ -84,6 +84,8 @@
       return wait;
     most = std::max(most, it.Status->Received);
   }
+  if (change.HeadAtLoss > most && change.Waited < limits::PrimaryReturnTimeout)
+    return wait;
   return promote(change, *findComplete(change, most, true));
 }
 
--- a/src/proxy/successor.h
+++ b/src/proxy/successor.h
@@ -22,6 +22,10 @@
 inline constexpr milliseconds SilentReplicaTimeout{700};
 /// Longest wait for a replica to receive all records of a leaving primary.
 inline constexpr milliseconds CatchUpTimeout{2'500};
+/// Longest wait for the return of a primary that may be the only one that still
+/// has the last acknowledged commits. A primary that crashed returns within
+/// seconds; one that was lost for good must not stop the group for good.
+inline constexpr milliseconds PrimaryReturnTimeout{30'000};
 
 } // namespace limits
 
@@ -43,7 +47,10 @@
   /// the replicas.
   std::optional<Position> PrimaryAt;
   std::optional<Position> LastHead; ///< Last known head of the primary's log.
-  Duration Waited{};                ///< Since the first query.
+  /// The same when a replica was last lost. That replica may have been the only
+  /// one to acknowledge the commits before.
+  std::optional<Position> HeadAtLoss;
+  Duration Waited{}; ///< Since the first query.
   std::vector<ReplicaReport> Replicas;
 
   auto operator<=>(const PrimaryChange &) const = default;
@@ -75,7 +82,8 @@
 /// most, after a limited wait; records that it lacks are lost. With them, waits
 /// until a replica is known to have each acknowledged commit: it has what the
 /// leaving primary has, or no listed replica has more. A replica that ends or
-/// that is lost for good is no longer listed.
+/// that is lost is no longer listed; what only it has acknowledged returns with
+/// the primary, for which the wait is limited.
 SuccessorDecision selectSuccessor(const PrimaryChange &change);
 
 } // namespace peridotfall::proxy
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -478,7 +478,7 @@
   run(milliseconds(1'000));
   Silent = {"s"};
   losePrimary();
-  run(std::chrono::seconds(20));
+  run(std::chrono::seconds(40));
   CHECK(Calls.Promotions.empty());
   removeEntry("s");
   run(milliseconds(700));
@@ -486,6 +486,62 @@
   CHECK(Calls.choices()[0].Target.Value == "r");
 }
 
+// Guards against the loss of acknowledged commits: the replica that had them
+// ends shortly before the primary crashes, or after it.
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "only replica with all commits ends, promotion waits for the "
+                  "primary's return") {
+  for (bool before : {true, false}) {
+    CAPTURE(before);
+    SynchronousGroupFixture it;
+    it.becomeLeader();
+    it.run(milliseconds(1'000));
+    it.setLeaving("s");
+    if (before)
+      it.removeEntry("s");
+    it.crashPrimary();
+    it.run(milliseconds(300));
+    if (!before)
+      it.removeEntry("s");
+    it.run(milliseconds(400));
+    it.reportFromPeers({8, 0});
+    it.run(milliseconds(7'000));
+    CHECK(it.Calls.Promotions.empty());
+    it.PrimaryAnswers = true;
+    it.run(milliseconds(3'000));
+    CHECK(it.Calls.Promotions.empty());
+  }
+}
+
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "only replica with all commits ends, the other one catches "
+                  "up, it is promoted") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  removeEntry("s");
+  losePrimary();
+  run(milliseconds(2'000));
+  CHECK(Calls.Promotions.empty());
+  Received["r"] = Head;
+  run(milliseconds(300));
+  REQUIRE(Calls.choices().size() == 1);
+  CHECK(Calls.choices()[0].Target.Value == "r");
+}
+
+// Guards against a group that never has a primary again.
+TEST_CASE_FIXTURE(SynchronousGroupFixture,
+                  "primary and the only complete replica lost for good, the "
+                  "other one is promoted in the end") {
+  becomeLeader();
+  run(milliseconds(1'000));
+  removeEntry("s");
+  losePrimary();
+  removeEntry("p");
+  run(proxy::limits::PrimaryReturnTimeout + milliseconds(1'000));
+  REQUIRE(Calls.choices().size() == 1);
+  CHECK(Calls.choices()[0].Target.Value == "r");
+}
+
 // Guards against positions of different times: while one replica is silent,
 // another one receives more.
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
