Tests: a group that waits for replicas begins with its leader known

Assertions are as they were; 29 of 29 pass. Evidence that was missing in: with its wait for the primary taken out, 'only replica with all commits ends, promotion waits for the primary's return' and '... the other one catches up, it is promoted' fail, 2 of 29.

--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -426,6 +426,8 @@
 struct SynchronousGroupFixture : FailoverControllerFixture {
   SynchronousGroupFixture() {
     TargetGroups.applySettings({{GroupName("ledger"), {16, true}}});
+    becomeLeader();
+    run(milliseconds(1'000));
   }
   void setLeaving(const char *target) {
     Entries.at(TargetName(target)).Leaving = true;
@@ -447,8 +449,6 @@
 // them is leaving, and another one has received nothing.
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "replica with all commits leaving, it is promoted") {
-  becomeLeader();
-  run(milliseconds(1'000));
   setLeaving("s");
   losePrimary();
   run(milliseconds(100));
@@ -460,8 +460,6 @@
                   "two replicas with all commits, the one that stays is "
                   "promoted") {
   Received["r"] = Received["s"];
-  becomeLeader();
-  run(milliseconds(1'000));
   setLeaving("s");
   losePrimary();
   run(milliseconds(100));
@@ -474,8 +472,6 @@
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "replica silent but listed, promotion waits as long as it "
                   "is listed") {
-  becomeLeader();
-  run(milliseconds(1'000));
   Silent = {"s"};
   losePrimary();
   run(std::chrono::seconds(40));
@@ -494,8 +490,6 @@
   for (bool before : {true, false}) {
     CAPTURE(before);
     SynchronousGroupFixture it;
-    it.becomeLeader();
-    it.run(milliseconds(1'000));
     it.setLeaving("s");
     if (before)
       it.removeEntry("s");
@@ -516,8 +510,6 @@
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "only replica with all commits ends, the other one catches "
                   "up, it is promoted") {
-  becomeLeader();
-  run(milliseconds(1'000));
   removeEntry("s");
   losePrimary();
   run(milliseconds(2'000));
@@ -532,8 +524,6 @@
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "primary and the only complete replica lost for good, the "
                   "other one is promoted in the end") {
-  becomeLeader();
-  run(milliseconds(1'000));
   removeEntry("s");
   losePrimary();
   removeEntry("p");
@@ -547,8 +537,6 @@
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "replica receives more during the wait for another, it is "
                   "promoted") {
-  becomeLeader();
-  run(milliseconds(1'000));
   Silent = {"s"};
   losePrimary();
   run(milliseconds(1'000));
@@ -565,8 +553,6 @@
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "promotion of the only complete replica fails, it is tried "
                   "again") {
-  becomeLeader();
-  run(milliseconds(1'000));
   losePrimary();
   run(milliseconds(100));
   REQUIRE(Calls.choices().size() == 1);
@@ -586,8 +572,6 @@
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "primary leaving, no replica has all its commits, none is "
                   "promoted") {
-  becomeLeader();
-  run(milliseconds(1'000));
   setLeaving("p");
   run(std::chrono::seconds(5));
   CHECK(Calls.Promotions.empty());
@@ -602,8 +586,6 @@
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "primary leaving, caught up replica leaving, it is not "
                   "promoted") {
-  becomeLeader();
-  run(milliseconds(1'000));
   Received["s"] = Head;
   setLeaving("s");
   setLeaving("p");
@@ -614,8 +596,6 @@
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "primary crashes during a planned change, the leaving "
                   "replica with its commits is promoted") {
-  becomeLeader();
-  run(milliseconds(1'000));
   setLeaving("s");
   setLeaving("p");
   run(milliseconds(1'000));
@@ -628,8 +608,6 @@
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
                   "leaving primary ends, replica with most records is "
                   "promoted") {
-  becomeLeader();
-  run(milliseconds(1'000));
   setLeaving("p");
   run(milliseconds(1'000));
   crashPrimary();
