Pool: names the statement of a set-up that a target refuses

What callers saw: statements refused as "timed out" or of unknown outcome. The line of the lost connection said only that its set-up had failed: not which statement the target refused, nor its answer, so that a caller's own text, a busy target and a connection that differs from its record looked alike.

The text itself is the caller's and stays out of the log.

--- a/src/proxy/statement.cpp
+++ b/src/proxy/statement.cpp
@@ -8,6 +8,38 @@
   return it;
 }
 
+const char *nameOf(StatementKind it) {
+  switch (it) {
+  case StatementKind::Begin:
+    return "begin";
+  case StatementKind::BeginRead:
+    return "begin read";
+  case StatementKind::Commit:
+    return "commit";
+  case StatementKind::Rollback:
+    return "rollback";
+  case StatementKind::Read:
+    return "read";
+  case StatementKind::Write:
+    return "write";
+  case StatementKind::Set:
+    return "set";
+  case StatementKind::Prepare:
+    return "prepare";
+  case StatementKind::Execute:
+    return "execute";
+  case StatementKind::Deallocate:
+    return "deallocate";
+  case StatementKind::Reset:
+    return "reset";
+  case StatementKind::Status:
+    return "status";
+  case StatementKind::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
 bool writes(const Statement &it) {
   return it.Kind == StatementKind::Write ||
          (it.Kind == StatementKind::Execute && it.Body.Writes);
--- a/src/proxy/statement.h
+++ b/src/proxy/statement.h
@@ -40,6 +40,9 @@
   auto operator<=>(const PreparedStatement &) const = default;
 };
 
+/// \return the text used in logs.
+const char *nameOf(StatementKind it);
+
 /// A statement from a caller or to a target.
 struct Statement {
   StatementKind Kind = StatementKind::Unknown;
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -39,6 +39,14 @@
                      [](const Statement &s) { return !s.Id.empty(); });
 }
 
+/// \return the id of the caller's statement; empty if there is none.
+std::string requestOf(const Batch &it) {
+  for (const auto &s : it.Statements)
+    if (!s.Id.empty())
+      return s.Id;
+  return {};
+}
+
 /// \return whether a lease runs only statements of the proxy itself, for which
 /// a connection of any account will do.
 bool isProbe(const Batch &first) {
@@ -282,7 +290,7 @@
   auto out =
       planSetup(connection.Environment, work.Session, work.RequiredPrepared);
   Running running;
-  running.Setup = out.size();
+  running.Setup = out;
   running.Done = std::move(done);
   running.Sent = Time.now();
   running.AnswerDeadline = std::min(running.Sent + work.Timeout, end);
@@ -341,14 +349,16 @@
   }
   auto &running = *it->second.Current;
   auto n = running.AnswersReceived++;
-  if (n < running.Setup) {
+  if (n < running.Setup.size()) {
     // Without its values or prepared statements the rest of the batch would run
     // in another session's state.
-    if (!answer.ok())
+    if (!answer.ok()) {
+      logSetupRejected(running, running.Setup[n], *answer.Error);
       dropConnection(it, "set-up of the connection failed");
+    }
     return;
   }
-  const auto &statement = running.Work.Statements[n - running.Setup];
+  const auto &statement = running.Work.Statements[n - running.Setup.size()];
   if (isOutOfOrder(statement, answer)) {
     dropConnection(it, "answer out of order");
     return;
@@ -439,16 +449,26 @@
 }
 
 void TargetPool::logLost(const Running &running, const char *why) const {
-  std::string request;
-  for (const auto &it : running.Work.Statements)
-    if (!it.Id.empty())
-      request = it.Id;
   telemetry::log(Event::ConnectionLost,
-                 {field("request", request), field("target", Target.Name.Value),
-                  field("why", why),
+                 {field("request", requestOf(running.Work)),
+                  field("target", Target.Name.Value), field("why", why),
                   field("answers", running.Result.Answers.size())});
 }
 
+/// Leaves out the text of the statement, which is the caller's.
+void TargetPool::logSetupRejected(const Running &running,
+                                  const Statement &statement,
+                                  const StatementError &why) const {
+  telemetry::log(Event::SetupRejected,
+                 {field("request", requestOf(running.Work)),
+                  field("target", Target.Name.Value),
+                  field("statement", nameOf(statement.Kind)),
+                  field("answer", nameOf(why.Kind)),
+                  field("bytes", statement.Name.size() +
+                                     statement.Argument.size() +
+                                     statement.Body.Shape.size())});
+}
+
 void TargetPool::closed(ConnectionId connection) {
   auto it = Connections.find(connection);
   if (it == Connections.end())
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -123,7 +123,7 @@
 
   struct Running {
     Batch Work;
-    std::size_t Setup = 0;           ///< Set-up statements sent before Work.
+    std::vector<Statement> Setup;    ///< Sent before Work.
     std::size_t AnswersReceived = 0; ///< Those of the set-up included.
     BatchResult Result;
     OnBatch Done;
@@ -171,6 +171,8 @@
   /// Closes the connection and ends its batch as lost.
   void dropConnection(ConnectionIt it, const char *why);
   void logLost(const Running &running, const char *why) const;
+  void logSetupRejected(const Running &running, const Statement &statement,
+                        const StatementError &why) const;
   void closeIdle();
   TargetLoad load() const;
   void addUse(const AccountName &account, Duration took);
