Prepared statements: names on connections hold no text of callers

What callers saw: targets ran statements with other text than was sent (UNASKED), prepared statements ran another shape (PINNED), and statements were refused after five tries or ended as "outcome unknown".

Cause: the last field of a line extends to its end, so a shape may hold blanks. The name of a prepared statement on shared connections was its shape behind a prefix. A name is one word there: "PREPARE r_q7 READ va READ q7 READ va" prepares r_q7 with the shape "va READ q7 READ va", which the next session that prepared q7 then runs, "EXECUTE r_q9 READ ummvnnzg #d" has the item READ, and writes are refused for lack of a mode: letter by letter the users' record.

Names are now numbers, given by the holder of the connection where the statement is prepared, so that no two shapes share one and none depends on a caller. A number is not used again on the connection, also after a reset. The connection chosen is the one that needs the fewest statements, prepared ones included.

Evidence: of tests/adapter/session_state_test.cpp the cases "prepared shape with blanks" and "many sessions with free text" fail before and pass now.

--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -243,7 +243,7 @@
   if (known == session.PreparedStatements.end())
     return false;
   it.Body = known->second;
-  it.Name = sharedName(it.Body);
+  it.Name = earlierName(it.Body);
   return true;
 }
 
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -200,7 +200,8 @@
     if (connection.State != Phase::Idle ||
         (connection.Account != waiter.Account && !anyAccount))
       continue;
-    auto n = distance(connection.Environment.Set, waiter.First.Session);
+    auto n = distance(connection.Environment, waiter.First.Session,
+                      waiter.First.RequiredPrepared);
     if (best == Connections.end() || n < fewest) {
       best = it;
       fewest = n;
@@ -294,6 +295,10 @@
   running.Done = std::move(done);
   running.Sent = Time.now();
   running.AnswerDeadline = std::min(running.Sent + work.Timeout, end);
+  for (auto &statement : work.Statements)
+    if (statement.Kind == StatementKind::Execute)
+      statement.Name = preparedName(connection.Environment, statement.Body)
+                           .value_or(statement.Name);
   out.insert(out.end(), work.Statements.begin(), work.Statements.end());
   running.Work = std::move(work);
   connection.Current = std::move(running);
@@ -365,7 +370,7 @@
   }
   // The target has lost prepared statements; prepare them again.
   if (answer.Error && answer.Error->Kind == ErrorKind::NoStatement)
-    it->second.Environment.PreparedStatements.clear();
+    forgetPrepared(it->second.Environment);
   running.Result.Answers.push_back(std::move(answer));
   if (running.Result.Answers.size() == running.Work.Statements.size())
     finish(it);
--- a/tests/adapter/session_state_test.cpp
+++ b/tests/adapter/session_state_test.cpp
@@ -64,18 +64,21 @@
     completeHandshakes();
     while (auto id = busyAt("p")) {
       const auto next = Links.Connections.at(*id).Unanswered.front();
-      auto refused = RefusedSetups.find(adapter::formatStatement(next));
-      if (next.Id.empty() && refused != RefusedSetups.end()) {
-        answer(*id, failure(refused->second, stateOf(next)));
-      } else {
-        auto code = Targets[*id].run(adapter::formatStatement(next));
-        if (code.empty())
-          answer(*id, success(next, stateOf(next)));
-        else
-          answer(*id, failure(code == "NOSTMT" ? ErrorKind::NoStatement
-                                               : ErrorKind::Malformed,
-                              stateOf(next)));
-      }
+      auto &target = Targets[*id];
+      auto text = adapter::formatStatement(next);
+      auto refused = RefusedSetups.find(text);
+      bool isRefused = next.Id.empty() && refused != RefusedSetups.end();
+      std::string code = isRefused ? "refused" : target.run(text);
+      auto state = target.InTransaction ? TransactionState::Open
+                                        : TransactionState::Idle;
+      if (isRefused)
+        answer(*id, failure(refused->second, state));
+      else if (!code.empty())
+        answer(*id, failure(code == "NOSTMT" ? ErrorKind::NoStatement
+                                             : ErrorKind::Malformed,
+                            state));
+      else
+        answer(*id, success(next, state));
       completeHandshakes();
       runClosed();
     }
@@ -85,10 +88,6 @@
       for (; !it.Open && !it.Unanswered.empty(); it.Unanswered.pop_front())
         Targets[id].run(adapter::formatStatement(it.Unanswered.front()));
   }
-  static TransactionState stateOf(const Statement &it) {
-    return it.Kind == StatementKind::Begin ? TransactionState::Open
-                                           : TransactionState::Idle;
-  }
   std::vector<TargetRun> ran() const {
     std::vector<TargetRun> out;
     for (const auto &[id, it] : Targets)
--- a/tests/adapter/strict_target.h
+++ b/tests/adapter/strict_target.h
@@ -27,6 +27,7 @@
   std::map<std::string, std::string> Values;
   std::map<std::string, std::string> Shapes; ///< "READ shape", by name.
   std::vector<TargetRun> Ran;
+  bool InTransaction = false;
 
   /// \param line with its line end.
   /// \return an error code, or nothing if the statement succeeded.
@@ -58,6 +59,10 @@
       Ran.push_back({id, it->second + " | " + std::string(line), Values});
     } else if (id != "-")
       Ran.push_back({id, std::string(whole), Values});
+    if (token == "BEGIN")
+      InTransaction = true;
+    else if (token == "COMMIT" || token == "ROLLBACK")
+      InTransaction = false;
     return {};
   }
 
