Pool: a statement is sent once its set-up is accepted

What callers saw: statements that ran with the session values of another caller (PINNED), single writes that ended as "outcome unknown" though their set-up was refused, and a statement that a target could never run tried five times, each time on a new connection.

Cause: SET, PREPARE and the statement left in one write. Closing the connection when the set-up was refused did not recall the statement: the target ran it in the state it had. Every refusal was taken for a fault of the connection.

A caller's statement now leaves when all answers to its set-up are there; a statement of the proxy itself (BEGIN, STATUS) is sent along, as it changes nothing. Until then nothing has run, so the batch counts as not run, also if the connection breaks. A value or shape that the target takes for malformed is the caller's own: its statement ends at once with the target's error, in a transaction as failed. After any other refusal the statement is tried again. The connection stays and is reset before its next use; only one that can't be reset is closed. Leases of the proxy itself no longer change a connection's values.

The test of a target that forgot a statement now answers the second PREPARE before it expects the second EXECUTE, and also checks the names.

--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -90,6 +90,10 @@
   auto operator<=>(const BatchResult &) const = default;
 };
 
+/// \return whether the target refuses the session's own values or prepared
+/// statements as malformed, as any other target would.
+bool isSetupMalformed(const BatchResult &it);
+
 /// Called once for each batch, after the call that starts it has returned.
 using OnBatch = std::function<void(BatchResult)>;
 
--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -417,6 +417,18 @@
   answerError(session, ErrorKind::InDoubt, why);
 }
 
+void Sessions::rejectSetup(Session &session, const StatementError &why) {
+  auto &run = *session.Current;
+  countStatement(Metrics, run.AssignedRoute.Reads,
+                 StatementOutcome::TargetError, Time.now() - run.StartedAt);
+  Answer answer;
+  answer.Error = why;
+  logServed(session, answer);
+  if (session.State == TransactionState::Open)
+    session.State = TransactionState::Failed;
+  answerError(session, why.Kind, why.Detail);
+}
+
 void Sessions::resume(const GroupName &group) {
   // By priority; then statements that can still meet their goal; then by
   // arrival. With accounts, statements that are late come last: by the end of a
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -267,6 +267,8 @@
   void answerError(Session &session, ErrorKind kind, std::string detail);
   void refuse(Session &session, milliseconds retryAfter, const char *why);
   void answerUnknownOutcome(Session &session, const char *why);
+  /// Answers a statement that no target can run in its session's state.
+  void rejectSetup(Session &session, const StatementError &why);
   void releaseLease(LeaseId lease);
   using RunHandler = void (Sessions::*)(Session &, const BatchResult &);
   OnBatch ifStillCurrent(const Session &session, RunHandler then);
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -18,6 +18,8 @@
 
 /// \return the code by which placement classifies the result.
 AnswerCode codeOf(const BatchResult &result) {
+  if (isSetupMalformed(result))
+    return AnswerCode::SqlError;
   if (result.End == BatchEnd::NotRun)
     return AnswerCode::Busy;
   if (result.End == BatchEnd::Lost)
@@ -442,6 +444,10 @@
     return;
   case BatchEnd::NotRun:
     run.Lease = {};
+    if (isSetupMalformed(result)) {
+      rejectSetup(session, result.Error);
+      return;
+    }
     // Only the primary can run this statement, and waiting longer would leave
     // the caller no time to retry.
     if (auto after = queueRetryAfter(result); after && isAtPrimary(run))
@@ -571,6 +577,10 @@
   auto &run = *session.Current;
   session.Open.Lease = {};
   bool commit = run.Request.Kind == StatementKind::Commit;
+  if (!commit && isSetupMalformed(result)) {
+    rejectSetup(session, result.Error);
+    return;
+  }
   telemetry::log(Event::TransactionLost, {field("request", run.Request.Id),
                                           field("target", run.Target.Value),
                                           field("why", result.Error.Detail),
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -28,6 +28,12 @@
   return isSigned(statement.Kind) == unsignedAnswer;
 }
 
+/// \return whether a statement of a set-up depends on what a caller has sent,
+/// so that its failure tells nothing of the connection.
+bool isOfSession(StatementKind it) {
+  return it == StatementKind::Set || it == StatementKind::Prepare;
+}
+
 /// Accounts whose use is known before those that are hardly used any more are
 /// forgotten.
 constexpr std::size_t MaxTrackedAccounts = 256;
@@ -288,24 +294,36 @@
 void TargetPool::start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done,
                        TimePoint end) {
   auto &connection = it->second;
-  auto out =
-      planSetup(connection.Environment, work.Session, work.RequiredPrepared);
-  Running running;
-  running.Setup = out;
+  auto &running = connection.Current.emplace();
+  // The proxy's own statements need no session, and do no harm in a wrong one.
+  bool isCallers = hasCallerStatement(work);
+  if (isCallers || !work.EndsLease)
+    running.Setup =
+        planSetup(connection.Environment, work.Session, work.RequiredPrepared);
   running.Done = std::move(done);
   running.Sent = Time.now();
   running.AnswerDeadline = std::min(running.Sent + work.Timeout, end);
-  for (auto &statement : work.Statements)
-    if (statement.Kind == StatementKind::Execute)
-      statement.Name = preparedName(connection.Environment, statement.Body)
-                           .value_or(statement.Name);
-  out.insert(out.end(), work.Statements.begin(), work.Statements.end());
   running.Work = std::move(work);
-  connection.Current = std::move(running);
   connection.State = Phase::Running;
   connection.Lease = lease;
   Leases[lease] = it->first;
-  Port.send(it->first, out);
+  if (!running.Setup.empty())
+    Port.send(it->first, running.Setup);
+  // What was sent cannot be recalled when the set-up fails, and would run in
+  // the state of another session.
+  if (running.Setup.empty() || !isCallers)
+    sendWork(it);
+}
+
+void TargetPool::sendWork(ConnectionIt it) {
+  auto &running = *it->second.Current;
+  for (auto &statement : running.Work.Statements)
+    if (statement.Kind == StatementKind::Execute)
+      statement.Name = preparedName(it->second.Environment, statement.Body)
+                           .value_or(statement.Name);
+  running.IsWorkSent = true;
+  running.Sent = Time.now();
+  Port.send(it->first, running.Work.Statements);
 }
 
 void TargetPool::opened(ConnectionId connection) {
@@ -354,20 +372,45 @@
   }
   auto &running = *it->second.Current;
   auto n = running.AnswersReceived++;
-  if (n < running.Setup.size()) {
-    // Without its values or prepared statements the rest of the batch would run
-    // in another session's state.
-    if (!answer.ok()) {
-      logSetupRejected(running, running.Setup[n], *answer.Error);
-      dropConnection(it, "set-up of the connection failed");
+  bool isSetup = n < running.Setup.size();
+  const auto &statement =
+      isSetup ? running.Setup[n]
+              : running.Work.Statements[n - running.Setup.size()];
+  if (!isSetup && !running.IsWorkSent)
+    dropConnection(it, "unexpected answer");
+  else if (isOutOfOrder(statement, answer))
+    dropConnection(it, "answer out of order");
+  else if (isSetup)
+    handleSetupAnswer(it, statement, answer);
+  else
+    handleWorkAnswer(it, std::move(answer));
+}
+
+void TargetPool::handleSetupAnswer(ConnectionIt it, const Statement &statement,
+                                   const Answer &answer) {
+  auto &running = *it->second.Current;
+  running.State = answer.State;
+  if (!answer.ok()) {
+    logSetupRejected(running, statement, *answer.Error);
+    if (!isOfSession(statement.Kind)) {
+      dropConnection(it, "connection can't be reset");
+      return;
     }
-    return;
+    if (!running.SetupError)
+      running.SetupError = answer.Error;
+    invalidate(it->second.Environment);
   }
-  const auto &statement = running.Work.Statements[n - running.Setup.size()];
-  if (isOutOfOrder(statement, answer)) {
-    dropConnection(it, "answer out of order");
+  if (running.AnswersReceived < running.Setup.size() || running.IsWorkSent)
     return;
-  }
+  if (running.SetupError || it->second.Abandoned)
+    finish(it);
+  else
+    sendWork(it);
+}
+
+void TargetPool::handleWorkAnswer(ConnectionIt it, Answer answer) {
+  auto &running = *it->second.Current;
+  running.State = answer.State;
   // The target has lost prepared statements; prepare them again.
   if (answer.Error && answer.Error->Kind == ErrorKind::NoStatement)
     forgetPrepared(it->second.Environment);
@@ -380,17 +423,24 @@
   auto &connection = it->second;
   auto running = std::move(*connection.Current);
   connection.Current.reset();
-  running.Result.End = BatchEnd::Complete;
   LastAnswer = Time.now();
+  bool hasRun = running.IsWorkSent && !running.SetupError;
+  running.Result.End = hasRun ? BatchEnd::Complete : BatchEnd::NotRun;
   running.Result.Load = load();
-  recordWork(connection, running);
-  bool idle = running.Result.Answers.back().State == TransactionState::Idle;
-  running.Result.LeaseKept = !running.Work.EndsLease;
-  bool ends = running.Work.EndsLease || connection.Abandoned;
+  if (hasRun)
+    recordWork(connection, running);
+  else {
+    running.Result.Error = running.SetupError.value_or(
+        StatementError{ErrorKind::Busy, "no longer needed"});
+    running.Result.Answers.clear();
+  }
+  bool idle = running.State == TransactionState::Idle;
+  running.Result.LeaseKept = hasRun && !running.Work.EndsLease;
+  bool ends = !running.Result.LeaseKept || connection.Abandoned;
   connection.State = Phase::Held;
   connection.Since = Time.now();
   bool wasRollback =
-      running.Work.Statements.back().Kind == StatementKind::Rollback;
+      hasRun && running.Work.Statements.back().Kind == StatementKind::Rollback;
   if (ends && !idle && wasRollback)
     dropConnection(it, "rollback left a transaction open");
   else if (ends && !idle)
@@ -428,7 +478,6 @@
   auto lease = it->second.Lease;
   it->second.Abandoned = true;
   Batch work;
-  work.Session = it->second.Environment.Set;
   work.Statements = {makeProxyStatement(StatementKind::Rollback)};
   work.EndsLease = true;
   work.Timeout = limits::RollbackTimeout;
@@ -447,8 +496,9 @@
     return;
   logLost(*connection.Current, why);
   auto &running = *connection.Current;
-  running.Result.End = BatchEnd::Lost;
-  running.Result.Error = {ErrorKind::InDoubt, why};
+  running.Result.End = running.IsWorkSent ? BatchEnd::Lost : BatchEnd::NotRun;
+  running.Result.Error = {
+      running.IsWorkSent ? ErrorKind::InDoubt : ErrorKind::Busy, why};
   running.Result.TargetUnreachable = Unreachable;
   running.Done(std::move(running.Result));
 }
@@ -464,14 +514,14 @@
 void TargetPool::logSetupRejected(const Running &running,
                                   const Statement &statement,
                                   const StatementError &why) const {
-  telemetry::log(Event::SetupRejected,
-                 {field("request", requestOf(running.Work)),
-                  field("target", Target.Name.Value),
-                  field("statement", nameOf(statement.Kind)),
-                  field("answer", nameOf(why.Kind)),
-                  field("bytes", statement.Name.size() +
-                                     statement.Argument.size() +
-                                     statement.Body.Shape.size())});
+  telemetry::log(
+      Event::SetupRejected,
+      {field("request", requestOf(running.Work)),
+       field("target", Target.Name.Value),
+       field("statement", nameOf(statement.Kind)),
+       field("answer", nameOf(why.Kind)),
+       field("bytes", statement.Name.size() + statement.Argument.size() +
+                          statement.Body.Shape.size())});
 }
 
 void TargetPool::closed(ConnectionId connection) {
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -125,6 +125,9 @@
     Batch Work;
     std::vector<Statement> Setup;    ///< Sent before Work.
     std::size_t AnswersReceived = 0; ///< Those of the set-up included.
+    bool IsWorkSent = false;
+    std::optional<StatementError> SetupError;
+    TransactionState State = TransactionState::Idle; ///< By the last answer.
     BatchResult Result;
     OnBatch Done;
     bool BeginsLease = false;
@@ -165,6 +168,10 @@
   /// there is no room.
   void openFor(const AccountName &account);
   bool closeLeastUsed();
+  void sendWork(ConnectionIt it);
+  void handleSetupAnswer(ConnectionIt it, const Statement &statement,
+                         const Answer &answer);
+  void handleWorkAnswer(ConnectionIt it, Answer answer);
   void finish(ConnectionIt it);
   void recordWork(const Connection &connection, const Running &finished);
   void rollBack(ConnectionIt it);
--- a/tests/proxy/sessions_test.cpp
+++ b/tests/proxy/sessions_test.cpp
@@ -236,9 +236,14 @@
   auto id = *busyAt("p");
   answer(id, success(Statement(), TransactionState::Idle));
   answer(id, failure(ErrorKind::NoStatement, TransactionState::Idle));
+  answer(id, success(Statement(), TransactionState::Idle));
+  const auto &seen = Links.Connections.at(id).Seen;
   CHECK(kinds(Links.Connections.at(id)) ==
         std::vector{StatementKind::Prepare, StatementKind::Execute,
                     StatementKind::Prepare, StatementKind::Execute});
+  CHECK(seen[1].Name == seen[0].Name);
+  CHECK(seen[2].Name != seen[0].Name);
+  CHECK(seen[3].Name == seen[2].Name);
 }
 
 // Guards against reads from a replaced primary for as long as the route's bound
