Callers' statements: the proxy's id is not a caller's

A caller that sent "QUERY - WRITE 1a4 x" had it forwarded as it was. The id "-" is that of statements which the proxy issues itself, so to a target it is a write that no client sent (UNASKED). Cause: the parser took any id.

--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -102,6 +102,16 @@
   }
 }
 
+// Guards against a caller's statement that targets take for the proxy's own.
+TEST_CASE("caller's statement, with the proxy's id, is Unknown") {
+  for (const char *it : {"QUERY - WRITE 1a4 x", "QUERY - READ 1a4",
+                         "QUERY - COMMIT", "QUERY - EXECUTE s1 1a4"}) {
+    CAPTURE(it);
+    CHECK(statementOf(it).Kind == StatementKind::Unknown);
+    CHECK(statementOf(it).Id == "-");
+  }
+}
+
 TEST_CASE("statement to a target, own or caller's, is formatted") {
   Statement begin;
   begin.Kind = StatementKind::BeginRead;
