Callers' statements: EXECUTE needs an item

"EXECUTE s1" and "EXECUTE s1 " reached the target as "EXECUTE s1 ": the first with a blank that its caller did not send. Cause: the argument was what remained, also if nothing did.

--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -112,6 +112,15 @@
   }
 }
 
+// Guards against text that the caller did not send: the blank in front of an
+// item.
+TEST_CASE("caller's EXECUTE, without an item, is Unknown") {
+  for (const char *it : {"QUERY a EXECUTE s1", "QUERY a EXECUTE s1 "}) {
+    CAPTURE(it);
+    CHECK(statementOf(it).Kind == StatementKind::Unknown);
+  }
+}
+
 TEST_CASE("statement to a target, own or caller's, is formatted") {
   Statement begin;
   begin.Kind = StatementKind::BeginRead;
