Callers' statements: SET needs a value, which may be empty

"SET zone" was acknowledged and set an empty value, which the caller had not named. Cause: a missing and an empty last field looked the same to the parser.

--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -121,6 +121,16 @@
   }
 }
 
+// Guards against a session with a value that its caller did not name.
+TEST_CASE("caller's SET, without a value, is Unknown unless it is empty") {
+  CHECK(statementOf("QUERY a SET zone").Kind == StatementKind::Unknown);
+  CHECK(statementOf("QUERY a SET ").Kind == StatementKind::Unknown);
+  auto it = statementOf("QUERY a SET zone ");
+  CHECK(it.Kind == StatementKind::Set);
+  CHECK(it.Name == "zone");
+  CHECK(it.Argument.empty());
+}
+
 TEST_CASE("statement to a target, own or caller's, is formatted") {
   Statement begin;
   begin.Kind = StatementKind::BeginRead;
