Callers' statements: the name in CLOSE extends to the end of the line

"CLOSE s1 s2" closed s1, a prepared statement that its caller goes on using (PINNED: a name whose preparing was acknowledged is unknown). Cause: the parser took the first word, though the name is the last field.

--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -131,6 +131,14 @@
   CHECK(it.Argument.empty());
 }
 
+// Guards against closing another statement than the caller named.
+TEST_CASE("caller's CLOSE, a name with blanks, is not its first word") {
+  auto it = statementOf("QUERY a CLOSE s1 s2");
+  CHECK(it.Kind == StatementKind::Deallocate);
+  CHECK(it.Name == "s1 s2");
+  CHECK(statementOf("QUERY a CLOSE ").Kind == StatementKind::Unknown);
+}
+
 TEST_CASE("statement to a target, own or caller's, is formatted") {
   Statement begin;
   begin.Kind = StatementKind::BeginRead;
