Callers' START: the key extends to the end of the line

"START db key more" was let in as the account of "key", though no configuration has the key that was sent. Cause: the parser took the first word of the last field and dropped the rest.

--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -139,6 +139,13 @@
   CHECK(statementOf("QUERY a CLOSE ").Kind == StatementKind::Unknown);
 }
 
+// Guards against access with a key that no account has.
+TEST_CASE("caller's START, a key with blanks, is not its first word") {
+  auto it = parseCallerMessage("START lepu270 u3f1 x");
+  REQUIRE(it);
+  CHECK(std::get<StartMessage>(it.value()).Key == digestOf("u3f1 x"));
+}
+
 TEST_CASE("statement to a target, own or caller's, is formatted") {
   Statement begin;
   begin.Kind = StatementKind::BeginRead;
