--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -177,6 +177,20 @@
   CHECK(formatAnswer(error) == "ERROR BUSY retry-after-ms=5\r\nREADY I -\r\n");
 }
 
+// Guards against text of an error that reads as a message of its own.
+TEST_CASE("error to a caller, text with line ends, is one line") {
+  proxy::StatementError error{ErrorKind::Busy,
+                              "a\r\r\n\nb\r\nREADY I -\r\nROW x"};
+  CHECK(formatRejection(error).find("\r\n") ==
+        formatRejection(error).size() - 2);
+  Answer answer;
+  for (auto kind : {ErrorKind::Busy, ErrorKind::Other}) {
+    answer.Error = {kind, error.Detail};
+    CHECK(formatAnswer(answer).find("\r\nREADY I -\r\n") ==
+          formatAnswer(answer).size() - 13);
+  }
+}
+
 TEST_CASE_FIXTURE(ReaderFixture, "target's answer, rows, is assembled") {
   auto it = readLines({"ROW qhz", "ROW k", "COMPLETE 7.1f3", "READY I 3.1209"});
   REQUIRE(it);
