Connections to targets: names that are no words are refused

START to a target was formatted from the names of a group, an account and a target whatever they held.

--- a/tests/adapter/entries_test.cpp
+++ b/tests/adapter/entries_test.cpp
@@ -160,3 +160,26 @@
       "address":"10.1.0.8:7440","incarnation":7})";
   CHECK(parseDaemon({"vm", earlier, 3, false}).value().LinkMbps == 0);
 }
+
+// Guards against entries whose names read as other fields of START.
+TEST_CASE("target entry, a name that is no word, is refused") {
+  for (const char *name : {"", "a b", "a\\r\\nb", "a\\n"}) {
+    CAPTURE(name);
+    CHECK_FALSE(parseTarget(makeObject(entryWith("huvo11a", name)), Regions));
+  }
+  auto object = makeObject(Entry);
+  for (const char *name : {"", "i 7", "i-7\r\nx"}) {
+    object.Name = name;
+    CHECK_FALSE(parseTarget(object, Regions));
+  }
+}
+
+// Guards against an account whose connections are another one's at targets.
+TEST_CASE("account, a name that is no word, is rejected") {
+  for (const char *name : {"", "a b", "a\\r\\nb"}) {
+    CAPTURE(name);
+    CHECK_FALSE(parseRoutingTable(
+        R"({"version":3,"routes":[],"services":[],"tenants":[{"name":")" +
+        std::string(name) + R"(","api_keys":["k"]}]})"));
+  }
+}
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -158,10 +158,10 @@
   // No position is known yet, so AFTER is left out.
   read.NotBefore = Position{};
   CHECK(formatStatement(read) == "QUERY 5c0e READ 1a4\r\n");
-  CHECK(formatStart("huvo11a", AccountName(), TargetName("i-7f")) ==
+  CHECK(formatStart("huvo11a", AccountName(), TargetName("i-7f")).value() ==
         "START huvo11a peridotfall i-7f\r\n");
-  CHECK(formatStart("huvo11a", AccountName("miny420"), TargetName("i-7f")) ==
-        "START huvo11a miny420 i-7f\r\n");
+  CHECK(formatStart("huvo11a", AccountName("miny420"), TargetName("i-7f"))
+            .value() == "START huvo11a miny420 i-7f\r\n");
 }
 
 TEST_CASE("answer to a caller, rows or an error, ends with the state") {
@@ -191,6 +191,17 @@
   }
 }
 
+// Guards against names that read as other fields, or as a message of their own.
+TEST_CASE("START to a target, a name that is no word, is refused") {
+  for (const char *it : {"", " ", "a b", "a ", "a\r\nQUERY - STATUS", "a\n"}) {
+    CAPTURE(it);
+    CHECK_FALSE(formatStart(it, AccountName("t"), TargetName("i-7")));
+    CHECK_FALSE(formatStart("g", AccountName("t"), TargetName(it)));
+    if (*it != '\0')
+      CHECK_FALSE(formatStart("g", AccountName(it), TargetName("i-7")));
+  }
+}
+
 TEST_CASE_FIXTURE(ReaderFixture, "target's answer, rows, is assembled") {
   auto it = readLines({"ROW qhz", "ROW k", "COMPLETE 7.1f3", "READY I 3.1209"});
   REQUIRE(it);
