Statements to targets: what no line can carry is not sent

It is refused now, where an id or a name is empty or has a blank, the item of EXECUTE is missing, or the text has CR LF.

--- a/fuzz/caller_wire_fuzz.cpp
+++ b/fuzz/caller_wire_fuzz.cpp
@@ -17,8 +17,13 @@
     if (!statement)
       continue;
     require(!statement->Id.empty());
-    // The forwarded statement must be one line.
+    // What is forwarded must be one line that says the same.
     auto out = adapter::formatStatement(*statement);
-    require(out.find("\r\n") == out.size() - 2);
+    require(out.has_value());
+    const auto &sent = out.value();
+    require(sent.find("\r\n") == sent.size() - 2);
+    auto again = adapter::parseCallerMessage(
+        std::string_view(sent).substr(0, sent.size() - 2));
+    require(again.has_value() && again.value() == it.value());
   }
 }
--- a/fuzz/target_wire_fuzz.cpp
+++ b/fuzz/target_wire_fuzz.cpp
@@ -17,7 +17,19 @@
       return;
     if (!it.value())
       continue;
+    // What the caller gets must be the same answer.
     auto text = adapter::formatAnswer(*it.value());
-    require(text.size() >= 2 && text.substr(text.size() - 2) == "\r\n");
+    adapter::AnswerReader caller;
+    std::size_t begin = 0;
+    for (auto end = text.find("\r\n"); end != std::string::npos;
+         end = text.find("\r\n", begin)) {
+      auto again =
+          caller.readLine(std::string_view(text).substr(begin, end - begin));
+      require(again.has_value());
+      begin = end + 2;
+      require(!again.value() || *again.value() == *it.value());
+      require(again.value().has_value() == (begin == text.size()));
+    }
+    require(begin == text.size());
   }
 }
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -150,14 +150,15 @@
   Statement begin;
   begin.Kind = StatementKind::BeginRead;
   begin.NotBefore = Position{3, 1207};
-  CHECK(formatStatement(begin) == "QUERY - AFTER 3.1207 BEGIN READ\r\n");
+  CHECK(formatStatement(begin).value() ==
+        "QUERY - AFTER 3.1207 BEGIN READ\r\n");
   auto read = statementOf("QUERY 5c0e READ 1a4");
-  CHECK(formatStatement(read) == "QUERY 5c0e READ 1a4\r\n");
+  CHECK(formatStatement(read).value() == "QUERY 5c0e READ 1a4\r\n");
   read.NotBefore = Position{3, 9};
-  CHECK(formatStatement(read) == "QUERY 5c0e AFTER 3.9 READ 1a4\r\n");
+  CHECK(formatStatement(read).value() == "QUERY 5c0e AFTER 3.9 READ 1a4\r\n");
   // No position is known yet, so AFTER is left out.
   read.NotBefore = Position{};
-  CHECK(formatStatement(read) == "QUERY 5c0e READ 1a4\r\n");
+  CHECK(formatStatement(read).value() == "QUERY 5c0e READ 1a4\r\n");
   CHECK(formatStart("huvo11a", AccountName(), TargetName("i-7f")).value() ==
         "START huvo11a peridotfall i-7f\r\n");
   CHECK(formatStart("huvo11a", AccountName("miny420"), TargetName("i-7f"))
@@ -202,6 +203,33 @@
   }
 }
 
+// Guards against text of another daemon that a target reads as other fields.
+TEST_CASE("statement to a target, text that no line carries, is refused") {
+  for (const char *name : {"", "r_q7 READ va", "a\r\nQUERY - COMMIT"}) {
+    for (auto kind :
+         {StatementKind::Set, StatementKind::Prepare, StatementKind::Execute}) {
+      CAPTURE(name);
+      Statement it;
+      it.Kind = kind;
+      it.Name = name;
+      it.Argument = "x";
+      it.Body.Shape = "q7";
+      CHECK_FALSE(formatStatement(it));
+    }
+  }
+  Statement read;
+  read.Kind = StatementKind::Read;
+  read.Text = "READ 1a4\r\nQUERY - COMMIT";
+  CHECK_FALSE(formatStatement(read));
+  read.Text = "READ 1a4";
+  read.Id = "a COMMIT";
+  CHECK_FALSE(formatStatement(read));
+  Statement execute;
+  execute.Kind = StatementKind::Execute;
+  execute.Name = "r_q7";
+  CHECK_FALSE(formatStatement(execute));
+}
+
 TEST_CASE_FIXTURE(ReaderFixture, "target's answer, rows, is assembled") {
   auto it = readLines({"ROW qhz", "ROW k", "COMPLETE 7.1f3", "READY I 3.1209"});
   REQUIRE(it);
