--- a/src/base/encoding.cpp
+++ b/src/base/encoding.cpp
@@ -70,6 +70,21 @@
   return out;
 }
 
+std::string encodePercent(std::string_view text) {
+  constexpr std::string_view Unreserved = "-._~";
+  std::string out;
+  for (char c : text) {
+    bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                 (c >= '0' && c <= '9') ||
+                 Unreserved.find(c) != std::string_view::npos;
+    if (plain)
+      out += c;
+    else
+      out += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+  }
+  return out;
+}
+
 std::string randomHex(std::size_t bytes) {
   std::vector<unsigned char> buf(bytes);
   if (RAND_bytes(buf.data(), static_cast<int>(bytes)) != 1)
--- a/src/base/encoding.h
+++ b/src/base/encoding.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace peridotfall {
 
@@ -13,6 +14,10 @@
 std::string encodeBase64Url(const std::string &bytes);
 std::optional<std::string> decodeBase64Url(const std::string &text);
 
+/// \return the text as one segment of a path or one value of a query, as in
+/// RFC 3986.
+std::string encodePercent(std::string_view text);
+
 /// \param bytes number of random bytes; the text is twice as long.
 std::string randomHex(std::size_t bytes);
 
--- a/tests/adapter/store_test.cpp
+++ b/tests/adapter/store_test.cpp
@@ -1,7 +1,9 @@
 #include "store.h"
 
+#include "drawn_text.h"
 #include "entries.h"
 
+#include <algorithm>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <doctest/doctest.h>
@@ -47,6 +49,7 @@
   HttpClient Client{Loop, Acceptor.local_endpoint()};
   Store Objects{Client};
   std::string Body;
+  std::string Head; ///< Of the last request.
   std::optional<proxy::ObjectPage> Page;
 
   StoreFixture() {
@@ -62,6 +65,7 @@
         [this, socket, in](std::error_code ec, std::size_t n) {
           if (ec)
             return;
+          Head = in->substr(0, n);
           in->erase(0, n);
           asio::write(*socket, asio::buffer(fmt::format(
                                    "HTTP/1.1 200 OK\r\nContent-Length: "
@@ -96,6 +100,33 @@
   }
 };
 
+std::string decodePercent(std::string_view text) {
+  constexpr int Hex = 16;
+  std::string out;
+  for (std::size_t n = 0; n < text.size(); ++n)
+    if (text[n] != '%')
+      out += text[n];
+    else {
+      out += static_cast<char>(
+          std::stoi(std::string(text.substr(n + 1, 2)), nullptr, Hex));
+      n += 2;
+    }
+  return out;
+}
+
+/// \return the request target between \p before and \p after, decoded; empty
+/// where the request has another form.
+std::string nameIn(const std::string &head, const std::string &before,
+                   const std::string &after) {
+  auto line = head.substr(0, head.find("\r\n"));
+  auto n = line.size() - std::min(line.size(), after.size());
+  if (!line.starts_with(before) || !line.ends_with(after) || n < before.size())
+    return {};
+  auto name = line.substr(before.size(), n - before.size());
+  return name.find_first_of("/?& #+") == std::string::npos ? decodePercent(name)
+                                                           : std::string();
+}
+
 void checkUnreadable(const proxy::StoredObject &it) {
   CHECK(it.Name == "b");
   CHECK(it.Revision == 5);
@@ -170,3 +201,27 @@
     CHECK(list(body + end).Outcome == proxy::ReadOutcome::Unavailable);
   }
 }
+
+// Guards against the name of one object that reads as the name of another one,
+// as a query or as a second request.
+TEST_CASE_FIXTURE(StoreFixture, "object's name, any text, is one part of the "
+                                "request") {
+  const std::string path = "/peridotfall/objects/servers";
+  std::mt19937 random(1);
+  for (int n = 0; n < 200; ++n) {
+    auto name = "d-" + testing::drawText(random);
+    CAPTURE(name);
+    Objects.list(TargetKind, name, Limit, received());
+    page();
+    CHECK(nameIn(Head, "GET " + path + "?after=", " HTTP/1.1") == name);
+    Objects.read(TargetKind, name, Limit, received());
+    page();
+    CHECK(nameIn(Head, "GET " + path + "/", " HTTP/1.1") == name);
+    bool done = false;
+    Objects.remove(TargetKind, name, 7,
+                   [&](proxy::CallOutcome) { done = true; });
+    while (!done)
+      Loop.run_one();
+    CHECK(nameIn(Head, "DELETE " + path + "/", "?revision=7 HTTP/1.1") == name);
+  }
+}
