--- a/tests/adapter/http_client_test.cpp
+++ b/tests/adapter/http_client_test.cpp
@@ -216,3 +216,23 @@
   CHECK(it.Received.Bytes > 0);
   CHECK(std::chrono::steady_clock::now() - began < FirstByteTimeout);
 }
+
+// Guards against text in a header or a path that reads as further headers.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "request, text that a line can't carry, is not sent") {
+  for (const char *text : {"a\r\nX-Fence-Token: 9", "a\n", "\x7f"}) {
+    CAPTURE(text);
+    for (bool inHeader : {true, false}) {
+      HttpRequest it;
+      it.Method = "GET";
+      it.Target = inHeader ? "/" : "/" + std::string(text);
+      it.Headers = {{"X-Duty-Holder", inHeader ? text : "a"}};
+      Client.send(std::move(it), [this](const HttpResponse &response) {
+        Statuses.push_back(response.Status);
+      });
+    }
+  }
+  runUntilAnswers(6);
+  CHECK(Statuses == std::vector<int>(6, 0));
+  CHECK(Server.accepted() == 0);
+}
