Settings: names in UTF-8 without control characters

A node name with CR LF was taken, though it is sent in X-Duty-Holder; one that is no UTF-8 was taken as well, and JSON can't hold it: its record as first watcher is not written but throws (json.exception.type_error.316).

Evidence: 'settings, a name with control characters or none, are rejected' failed before; 'settings, a name that is no UTF-8, are rejected' failed before with that exception from formatWatcher.

--- a/src/base/encoding.cpp
+++ b/src/base/encoding.cpp
@@ -70,6 +70,37 @@
   return out;
 }
 
+std::size_t utf8Length(std::string_view text) {
+  auto byte = [text](std::size_t n) {
+    return static_cast<unsigned char>(text[n]);
+  };
+  auto first = byte(0);
+  if (first < 0x80)
+    return 1;
+  std::size_t n = first >= 0xf0 ? 4 : first >= 0xe0 ? 3 : 2;
+  if (first < 0xc2 || first > 0xf4 || text.size() < n)
+    return 0;
+  for (std::size_t k = 1; k < n; ++k)
+    if ((byte(k) & 0xc0) != 0x80)
+      return 0;
+  // Longer forms of a character, surrogates, and beyond the last character.
+  auto second = byte(1);
+  bool excluded =
+      (first == 0xe0 && second < 0xa0) || (first == 0xed && second > 0x9f) ||
+      (first == 0xf0 && second < 0x90) || (first == 0xf4 && second > 0x8f);
+  return excluded ? 0 : n;
+}
+
+bool isUtf8(std::string_view text) {
+  while (!text.empty()) {
+    auto n = utf8Length(text);
+    if (n == 0)
+      return false;
+    text.remove_prefix(n);
+  }
+  return true;
+}
+
 std::string encodePercent(std::string_view text) {
   constexpr std::string_view Unreserved = "-._~";
   std::string out;
--- a/src/base/encoding.h
+++ b/src/base/encoding.h
@@ -14,6 +14,12 @@
 std::string encodeBase64Url(const std::string &bytes);
 std::optional<std::string> decodeBase64Url(const std::string &text);
 
+/// \return the length of the UTF-8 character at the begin of \p text, which is
+/// not empty; 0 where there is none.
+std::size_t utf8Length(std::string_view text);
+
+bool isUtf8(std::string_view text);
+
 /// \return the text as one segment of a path or one value of a query, as in
 /// RFC 3986.
 std::string encodePercent(std::string_view text);
--- a/tests/adapter/settings_test.cpp
+++ b/tests/adapter/settings_test.cpp
@@ -1,5 +1,7 @@
 #include "settings.h"
 
+#include "entries.h"
+
 #include <doctest/doctest.h>
 
 using namespace peridotfall;
@@ -37,6 +39,11 @@
   return out;
 }
 
+std::string settingsNamed(const std::string &name) {
+  return settingsWithout("node_name: \"frontend-tartu-press-1\"\n") +
+         "node_name: \"" + name + "\"\n";
+}
+
 } // namespace
 
 TEST_CASE("settings, complete and with an unknown field, are parsed") {
@@ -114,3 +121,25 @@
   CHECK_FALSE(parseSettings("[]"));
   CHECK_FALSE(parseSettings(settingsWithout("  - 7455\n")));
 }
+
+// Guards against a name that adds headers to calls of the platform.
+TEST_CASE("settings, a name with control characters or none, are rejected") {
+  for (const char *name : {"", "a\\r\\nX-Fence-Token: 9", "a\\0", "\\x7f"}) {
+    CAPTURE(name);
+    auto it = parseSettings(settingsNamed(name));
+    REQUIRE_FALSE(it);
+    CHECK(it.error().front().Place == "node_name");
+  }
+}
+
+// Guards against a process that ends because JSON cannot hold its name.
+TEST_CASE("settings, a name that is no UTF-8, are rejected") {
+  for (const char *name : {"a\xff", "a\xc3", "\xed\xa0\x80"}) {
+    CAPTURE(name);
+    auto it = parseSettings(settingsNamed(name));
+    if (it)
+      CHECK_NOTHROW(formatWatcher(memberOf(it.value(), 1)));
+    REQUIRE_FALSE(it);
+    CHECK(it.error().front().Place == "node_name");
+  }
+}
