Log: values of any text are quoted so that they parse as they were

A value with a line end was logged with a blank in its place, other control characters and bytes that are no UTF-8 as they were, and a text of a megabyte whole. `peridotfall explain REQUEST` then did not find the request, and escape sequences of a caller reached the operator's terminal. Values have \n, \r, \t and \xHH now, are cut after 1,024 bytes with "...", and are parsed back; `explain` shows them quoted in the same way.

--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -1,5 +1,6 @@
 #include "telemetry/events.h"
 
+#include "base/encoding.h"
 #include "telemetry/line_limiter.h"
 #include "telemetry/log_writer.h"
 
@@ -23,25 +24,42 @@
 
 constexpr std::string_view LevelNames[] = {"debug", "info", "warning", "error"};
 
-std::string quote(const std::string &value) {
-  if (!value.empty() &&
-      value.find_first_of(" \"=\n\r\t\\") == std::string::npos)
-    return value;
-  std::string out = "\"";
-  for (char c : value) {
-    if (c == '\n' || c == '\r')
-      out += ' ';
-    else {
-      if (c == '"' || c == '\\')
-        out += '\\';
-      out += c;
-    }
-  }
-  return out + "\"";
+/// \return the byte, escaped where a quoted value can't have it.
+std::string escapeByte(char c) {
+  constexpr unsigned char Delete = 0x7f;
+  auto byte = static_cast<unsigned char>(c);
+  if (c == '\n')
+    return "\\n";
+  if (c == '\r')
+    return "\\r";
+  if (c == '\t')
+    return "\\t";
+  if (c == '"' || c == '\\')
+    return {'\\', c};
+  if (byte < ' ' || byte >= Delete)
+    return fmt::format("\\x{:02x}", byte);
+  return {c};
 }
 
 } // namespace
 
+std::string quoteValue(std::string_view value) {
+  bool cut = value.size() > MaxValueBytes;
+  auto rest = value.substr(0, MaxValueBytes);
+  bool plain = !rest.empty() && rest.find_first_of(" =") == rest.npos;
+  std::string out;
+  while (!rest.empty()) {
+    auto n = utf8Length(rest);
+    auto next = n > 1 ? std::string(rest.substr(0, n)) : escapeByte(rest[0]);
+    plain = plain && (n > 1 || next.size() == 1);
+    out += next;
+    rest.remove_prefix(std::max<std::size_t>(n, 1));
+  }
+  if (cut)
+    out += "...";
+  return plain ? out : "\"" + out + "\"";
+}
+
 const std::vector<EventInfo> &allEvents() {
   static const std::vector<EventInfo> All = {
 #define PERIDOTFALL_EVENT(id, number, severity, name, meaning, advice)         \
@@ -108,9 +126,9 @@
   auto line = fmt::format(
       "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event=PF{} msg={}",
       fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis,
-      toString(info.Severity), info.Number, quote(std::string(info.Name)));
+      toString(info.Severity), info.Number, quoteValue(info.Name));
   for (const auto &it : fields)
-    line += fmt::format(" {}={}", it.Name, quote(it.Value));
+    line += fmt::format(" {}={}", it.Name, quoteValue(it.Value));
   return line;
 }
 
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -57,6 +57,13 @@
   return {name, fmt::format("{}", value)};
 }
 
+/// Longer values of fields are cut. Texts of callers may have a megabyte.
+inline constexpr std::size_t MaxValueBytes = 1'024;
+
+/// \return the value of a field as in a line: in quotes unless it is plain,
+/// with \n, \r, \t and \xHH for control characters and bytes that are no UTF-8.
+std::string quoteValue(std::string_view value);
+
 /// Writes one line. Thread-safe; never blocks on the reader of standard output.
 /// Lines beyond LinesPerSecond are counted and not written.
 void log(Event event, std::initializer_list<Field> fields);
--- a/src/tool/request_timeline.cpp
+++ b/src/tool/request_timeline.cpp
@@ -15,13 +15,39 @@
 constexpr int FirstTargetEvent = 4'000;
 constexpr int LastTargetEvent = 4'999;
 
+/// Parses what follows a backslash. \param at of its first character; set to
+/// that of its last one.
+char parseEscape(const std::string &text, std::size_t &at) {
+  constexpr int Hex = 16;
+  switch (text[at]) {
+  case 'n':
+    return '\n';
+  case 'r':
+    return '\r';
+  case 't':
+    return '\t';
+  case 'x': {
+    unsigned byte = 0;
+    const char *first = text.data() + at + 1;
+    const char *last = first + std::min<std::size_t>(text.size() - at - 1, 2);
+    auto [end, ec] = std::from_chars(first, last, byte, Hex);
+    if (ec != std::errc() || end != first + 2)
+      return 'x';
+    at += 2;
+    return static_cast<char>(byte);
+  }
+  default:
+    return text[at];
+  }
+}
+
 std::string parseQuoted(const std::string &text, std::size_t &at) {
   std::string out;
-  for (++at; at < text.size() && text[at] != '"'; ++at) {
+  for (++at; at < text.size() && text[at] != '"'; ++at)
     if (text[at] == '\\' && at + 1 < text.size())
-      ++at;
-    out += text[at];
-  }
+      out += parseEscape(text, ++at);
+    else
+      out += text[at];
   ++at;
   return out;
 }
@@ -137,7 +163,7 @@
                          event ? event->Name : "not in the catalogue");
   for (const auto &[name, value] : it.Fields)
     if (name != "time" && name != "event" && name != "level" && name != "msg")
-      out += fmt::format(" {}={}", name, value);
+      out += fmt::format(" {}={}", name, telemetry::quoteValue(value));
   return out;
 }
 
--- a/tests/tool/request_timeline_test.cpp
+++ b/tests/tool/request_timeline_test.cpp
@@ -1,11 +1,28 @@
 #include "tool/request_timeline.h"
 
+#include "drawn_text.h"
+#include "telemetry/events.h"
+#include "telemetry/log_writer.h"
+
+#include <algorithm>
 #include <doctest/doctest.h>
 
+using namespace peridotfall;
 using namespace peridotfall::tool;
 
 namespace {
 
+/// \return the line that is logged with the value in the field "request".
+std::string logLineWith(const std::string &value) {
+  std::string out;
+  telemetry::setLineSink([&](const std::string &line) { out = line; });
+  telemetry::log(telemetry::Event::CallerMalformed,
+                 {telemetry::field("request", value),
+                  telemetry::field("why", "other fields=\"1\"")});
+  telemetry::setLineSink(nullptr);
+  return out;
+}
+
 struct TimelineFixture {
   std::vector<LogLine> Lines;
 
@@ -83,3 +100,37 @@
                  "group=led why=\"no primary to run it\" last_target=i-2");
   CHECK(events("0d").size() == 3);
 }
+
+// Guards against text of a caller that reads as other fields or lines, or that
+// the request's timeline does not find.
+TEST_CASE("log line, a value of any text, is parsed as it was") {
+  std::mt19937 random(1);
+  for (int n = 0; n < 2'000; ++n) {
+    auto value = testing::drawText(random);
+    CAPTURE(value);
+    auto line = logLineWith(value);
+    CHECK(std::none_of(line.begin(), line.end(), [](unsigned char c) {
+      return c < ' ' || c == 0x7f || c == 0xff;
+    }));
+    auto it = parseLogLine(line, "a");
+    REQUIRE(it);
+    CHECK(it->Fields.at("request") == value);
+    CHECK(it->Fields.at("why") == "other fields=\"1\"");
+  }
+}
+
+// Guards against a log that one long text of a caller fills.
+TEST_CASE("log line, a long value, is cut") {
+  auto line = logLineWith(std::string(1 << 20, 'x'));
+  CHECK(line.size() < 4'096);
+  auto it = parseLogLine(line, "a");
+  REQUIRE(it);
+  CHECK(it->Fields.at("request").ends_with("xxx..."));
+}
+
+// Guards against text of a caller that acts on the operator's terminal.
+TEST_CASE("described line, a value with control characters, is quoted") {
+  auto it = parseLogLine(logLineWith("\x1b[2J a=b"), "a");
+  REQUIRE(it);
+  CHECK(describe(*it).find(R"(request="\x1b[2J a=b")") != std::string::npos);
+}
