Callers' requests over HTTP: keys and paths must be UTF-8

An idempotency key with other bytes was taken. It is sent to targets as JSON, where each such byte becomes U+FFFD, so different keys become the same one; the messages between daemons have it in a field that must be UTF-8. The key is reported as a wrong header now, and a path with other bytes (it holds the number of a transaction) is not found.

Evidence: 'caller request, a key or path that is no UTF-8, is rejected' failed before. What a target does with two such keys was not run.

--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller_api.h"
 
 #include "base/document.h"
+#include "base/encoding.h"
 #include "http/status.h"
 #include "peridotfall/limits.h"
 #include "target/wire.h"
@@ -40,7 +41,10 @@
   std::string Transaction;
 };
 
+/// The names are sent to other daemons and to targets as UTF-8.
 std::optional<Operation> parsePath(const std::string &path) {
+  if (!isUtf8(path))
+    return std::nullopt;
   auto parts = splitPath(path);
   if (parts.size() < 4 || parts[0] != "v1" || parts[1] != "databases")
     return std::nullopt;
@@ -92,6 +96,9 @@
     findings.push_back(
         {KeyHeader, fmt::format("at most {} characters", limits::MaxKeyLength),
          std::to_string(out.Key.size())});
+  // JSON has no other bytes: different keys would become the same one.
+  if (!isUtf8(out.Key))
+    findings.push_back({KeyHeader, "UTF-8", "other bytes"});
 }
 
 void readParameters(const Json &list, StatementRequest &out,
--- a/tests/daemon/caller_api_test.cpp
+++ b/tests/daemon/caller_api_test.cpp
@@ -92,6 +92,28 @@
     CHECK_FALSE(parse(request(body)));
 }
 
+// Guards against keys that become the same one in JSON, and against messages
+// between daemons that cannot be decoded.
+TEST_CASE_FIXTURE(CallerApiFixture,
+                  "caller request, a key or path that is no UTF-8, is "
+                  "rejected") {
+  for (const char *bytes : {"\xff", "\xc3", "\xed\xa0\x80", "\xc0\xaf"}) {
+    CAPTURE(bytes);
+    auto it = request(Good);
+    it.Fields = {{KeyHeader, bytes}};
+    CHECK(findings(it) == Places{KeyHeader});
+    it = request(Good);
+    it.Path = std::string("/v1/databases/orders/transactions/") + bytes +
+              "/statements";
+    auto parsed = parse(it);
+    REQUIRE_FALSE(parsed);
+    CHECK(parsed.error().Status == 404);
+  }
+  auto it = request(Good);
+  it.Fields = {{KeyHeader, "trükikoda"}};
+  CHECK(parse(it));
+}
+
 TEST_CASE_FIXTURE(
     CallerApiFixture,
     "caller request, an unknown database, is rejected as not found") {
