Questionnaire: the name of a database is a segment of a path

Names with a blank, "/", "?", "#" or control characters were accepted. Callers can't address such a database; "a?x" has the platform's key of "a", and a blank or a line end makes the session token unreadable, which has one line a database. They are findings now. A configuration in force is read as before.

--- a/src/config/questionnaire.cpp
+++ b/src/config/questionnaire.cpp
@@ -6,6 +6,7 @@
 
 #include "peridotfall/limits.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 #include <fmt/format.h>
@@ -100,6 +101,15 @@
   return inet_pton(AF_INET, host.c_str(), &bytes) == 1;
 }
 
+/// A database's name is a segment of the callers' paths and of the platform's
+/// keys, where other databases' names must not begin.
+bool isPathSegment(const std::string &name) {
+  return std::none_of(name.begin(), name.end(), [](unsigned char c) {
+    constexpr unsigned char Delete = 0x7f;
+    return c <= ' ' || c == '/' || c == '?' || c == '#' || c == Delete;
+  });
+}
+
 void checkTargets(const DatabaseConfig &database, const std::string &place,
                   Findings &findings) {
   if (database.Targets.size() != TargetsPerGroup)
@@ -135,6 +145,12 @@
     findings.push_back({"/databases", "at least one", "none"});
   for (std::size_t n = 0; n < it.Databases.size(); ++n) {
     auto place = elementPlace("/databases", n);
+    const auto &name = it.Databases[n].Name.Value;
+    if (!isPathSegment(name))
+      findings.push_back({place + "/name",
+                          "a name without blanks, control characters, /, ? "
+                          "and #",
+                          name});
     checkTargets(it.Databases[n], place + "/targets", findings);
     if (it.Databases[n].Kinds.empty())
       findings.push_back(
--- a/tests/config/questionnaire_test.cpp
+++ b/tests/config/questionnaire_test.cpp
@@ -12,6 +12,7 @@
   std::string Address = "10.0.0.3:7411";
   std::string Third = "d3";
   std::string ThirdTarget = "t3";
+  std::string Database = "orders";
   std::string Requests = R"({"name":"place","effect":"changes"})";
 
   std::string target(const std::string &name, const std::string &domain,
@@ -24,10 +25,9 @@
   std::string answers() const {
     return R"({"team":"a team","failureDomains":[)"
            R"({"name":"d1","region":"r"},{"name":"d2","region":"r"},)"
-           R"({"name":"d3","region":"s"}],"databases":[{"name":"orders",)"
-           R"("targets":[)" +
-           target("t1", "d1", "10.0.0.1:7411") + "," +
-           target("t2", "d2", "10.0.0.2:7411") + "," +
+           R"({"name":"d3","region":"s"}],"databases":[{"name":")" +
+           Database + R"(","targets":[)" + target("t1", "d1", "10.0.0.1:7411") +
+           "," + target("t2", "d2", "10.0.0.2:7411") + "," +
            target(ThirdTarget, Third, Address) + R"(],"requests":[)" +
            Requests + "]}]}";
   }
@@ -62,6 +62,20 @@
   CHECK(places() == Places{"/databases/0/targets/2/failureDomain"});
 }
 
+// Guards against a database whose key at the platform is that of another one,
+// and against a session token that cannot be read.
+TEST_CASE_FIXTURE(
+    QuestionnaireFixture,
+    "questionnaire, a database's name that is no path segment, is rejected") {
+  for (const char *it : {"a b", "a/b", "a?b", "a#b", "a\\nb", "a\\u0000b"}) {
+    CAPTURE(it);
+    Database = it;
+    CHECK(places() == Places{"/databases/0/name"});
+  }
+  Database = "tr\xc3\xbckikoda-1.2_3~%41:";
+  CHECK(places().empty());
+}
+
 TEST_CASE_FIXTURE(QuestionnaireFixture,
                   "questionnaire, unknown domain, reports its place") {
   Third = "d9";
