Configuration: an operator's name that is no UTF-8 is written

`peridotfall questionnaire apply` takes the operator's name from a flag or from the environment; with bytes that are no UTF-8 writeConfiguration threw an exception of the JSON library. They are replaced by U+FFFD now, as in the stored answers.

Evidence: 'configuration, an operator's name that is no UTF-8, is written' failed before with json.exception.type_error.316. The tool itself was not run.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -219,7 +219,7 @@
   }
   if (!it.AppliedBy.empty())
     out["appliedBy"] = it.AppliedBy;
-  return out.dump();
+  return out.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 const DatabaseConfig *findDatabase(const Configuration &it,
--- a/tests/config/questionnaire_test.cpp
+++ b/tests/config/questionnaire_test.cpp
@@ -56,6 +56,19 @@
   CHECK(back.value() == it.value());
 }
 
+// Guards against a tool that ends without an answer: the operator's name comes
+// from the environment.
+TEST_CASE_FIXTURE(
+    QuestionnaireFixture,
+    "configuration, an operator's name that is no UTF-8, is written") {
+  auto it = generateConfiguration(answers());
+  REQUIRE(it);
+  it.value().AppliedBy = "o\xff";
+  std::string text;
+  CHECK_NOTHROW(text = writeConfiguration(it.value()));
+  CHECK(parseConfiguration(text));
+}
+
 TEST_CASE_FIXTURE(QuestionnaireFixture,
                   "questionnaire, two targets in one domain, is rejected") {
   Third = "d1";
