--- a/tests/adapter/session_state_test.cpp
+++ b/tests/adapter/session_state_test.cpp
@@ -65,7 +65,7 @@
     while (auto id = busyAt("p")) {
       const auto next = Links.Connections.at(*id).Unanswered.front();
       auto &target = Targets[*id];
-      auto text = adapter::formatStatement(next);
+      auto text = adapter::formatStatement(next).value();
       auto refused = RefusedSetups.find(text);
       bool isRefused = next.Id.empty() && refused != RefusedSetups.end();
       std::string code = isRefused ? "refused" : target.run(text);
@@ -86,7 +86,8 @@
   void runClosed() {
     for (auto &[id, it] : Links.Connections)
       for (; !it.Open && !it.Unanswered.empty(); it.Unanswered.pop_front())
-        Targets[id].run(adapter::formatStatement(it.Unanswered.front()));
+        Targets[id].run(
+            adapter::formatStatement(it.Unanswered.front()).value());
   }
   std::vector<TargetRun> ran() const {
     std::vector<TargetRun> out;
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -102,22 +102,67 @@
   }
 }
 
+// Guards against a caller's statement that targets take for the proxy's own.
+TEST_CASE("caller's statement, with the proxy's id, is Unknown") {
+  for (const char *it : {"QUERY - WRITE 1a4 x", "QUERY - READ 1a4",
+                         "QUERY - COMMIT", "QUERY - EXECUTE s1 1a4"}) {
+    CAPTURE(it);
+    CHECK(statementOf(it).Kind == StatementKind::Unknown);
+    CHECK(statementOf(it).Id == "-");
+  }
+}
+
+// Guards against text that the caller did not send: the blank in front of an
+// item.
+TEST_CASE("caller's EXECUTE, without an item, is Unknown") {
+  for (const char *it : {"QUERY a EXECUTE s1", "QUERY a EXECUTE s1 "}) {
+    CAPTURE(it);
+    CHECK(statementOf(it).Kind == StatementKind::Unknown);
+  }
+}
+
+// Guards against a session with a value that its caller did not name.
+TEST_CASE("caller's SET, without a value, is Unknown unless it is empty") {
+  CHECK(statementOf("QUERY a SET zone").Kind == StatementKind::Unknown);
+  CHECK(statementOf("QUERY a SET ").Kind == StatementKind::Unknown);
+  auto it = statementOf("QUERY a SET zone ");
+  CHECK(it.Kind == StatementKind::Set);
+  CHECK(it.Name == "zone");
+  CHECK(it.Argument.empty());
+}
+
+// Guards against closing another statement than the caller named.
+TEST_CASE("caller's CLOSE, a name with blanks, is not its first word") {
+  auto it = statementOf("QUERY a CLOSE s1 s2");
+  CHECK(it.Kind == StatementKind::Deallocate);
+  CHECK(it.Name == "s1 s2");
+  CHECK(statementOf("QUERY a CLOSE ").Kind == StatementKind::Unknown);
+}
+
+// Guards against access with a key that no account has.
+TEST_CASE("caller's START, a key with blanks, is not its first word") {
+  auto it = parseCallerMessage("START lepu270 u3f1 x");
+  REQUIRE(it);
+  CHECK(std::get<StartMessage>(it.value()).Key == digestOf("u3f1 x"));
+}
+
 TEST_CASE("statement to a target, own or caller's, is formatted") {
   Statement begin;
   begin.Kind = StatementKind::BeginRead;
   begin.NotBefore = Position{3, 1207};
-  CHECK(formatStatement(begin) == "QUERY - AFTER 3.1207 BEGIN READ\r\n");
+  CHECK(formatStatement(begin).value() ==
+        "QUERY - AFTER 3.1207 BEGIN READ\r\n");
   auto read = statementOf("QUERY 5c0e READ 1a4");
-  CHECK(formatStatement(read) == "QUERY 5c0e READ 1a4\r\n");
+  CHECK(formatStatement(read).value() == "QUERY 5c0e READ 1a4\r\n");
   read.NotBefore = Position{3, 9};
-  CHECK(formatStatement(read) == "QUERY 5c0e AFTER 3.9 READ 1a4\r\n");
+  CHECK(formatStatement(read).value() == "QUERY 5c0e AFTER 3.9 READ 1a4\r\n");
   // No position is known yet, so AFTER is left out.
   read.NotBefore = Position{};
-  CHECK(formatStatement(read) == "QUERY 5c0e READ 1a4\r\n");
-  CHECK(formatStart("huvo11a", AccountName(), TargetName("i-7f")) ==
+  CHECK(formatStatement(read).value() == "QUERY 5c0e READ 1a4\r\n");
+  CHECK(formatStart("huvo11a", AccountName(), TargetName("i-7f")).value() ==
         "START huvo11a peridotfall i-7f\r\n");
-  CHECK(formatStart("huvo11a", AccountName("miny420"), TargetName("i-7f")) ==
-        "START huvo11a miny420 i-7f\r\n");
+  CHECK(formatStart("huvo11a", AccountName("miny420"), TargetName("i-7f"))
+            .value() == "START huvo11a miny420 i-7f\r\n");
 }
 
 TEST_CASE("answer to a caller, rows or an error, ends with the state") {
@@ -133,6 +178,58 @@
   CHECK(formatAnswer(error) == "ERROR BUSY retry-after-ms=5\r\nREADY I -\r\n");
 }
 
+// Guards against text of an error that reads as a message of its own.
+TEST_CASE("error to a caller, text with line ends, is one line") {
+  proxy::StatementError error{ErrorKind::Busy,
+                              "a\r\r\n\nb\r\nREADY I -\r\nROW x"};
+  CHECK(formatRejection(error).find("\r\n") ==
+        formatRejection(error).size() - 2);
+  Answer answer;
+  for (auto kind : {ErrorKind::Busy, ErrorKind::Other}) {
+    answer.Error = {kind, error.Detail};
+    CHECK(formatAnswer(answer).find("\r\nREADY I -\r\n") ==
+          formatAnswer(answer).size() - 13);
+  }
+}
+
+// Guards against names that read as other fields, or as a message of their own.
+TEST_CASE("START to a target, a name that is no word, is refused") {
+  for (const char *it : {"", " ", "a b", "a ", "a\r\nQUERY - STATUS", "a\n"}) {
+    CAPTURE(it);
+    CHECK_FALSE(formatStart(it, AccountName("t"), TargetName("i-7")));
+    CHECK_FALSE(formatStart("g", AccountName("t"), TargetName(it)));
+    if (*it != '\0')
+      CHECK_FALSE(formatStart("g", AccountName(it), TargetName("i-7")));
+  }
+}
+
+// Guards against text of another daemon that a target reads as other fields.
+TEST_CASE("statement to a target, text that no line carries, is refused") {
+  for (const char *name : {"", "r_q7 READ va", "a\r\nQUERY - COMMIT"}) {
+    for (auto kind :
+         {StatementKind::Set, StatementKind::Prepare, StatementKind::Execute}) {
+      CAPTURE(name);
+      Statement it;
+      it.Kind = kind;
+      it.Name = name;
+      it.Argument = "x";
+      it.Body.Shape = "q7";
+      CHECK_FALSE(formatStatement(it));
+    }
+  }
+  Statement read;
+  read.Kind = StatementKind::Read;
+  read.Text = "READ 1a4\r\nQUERY - COMMIT";
+  CHECK_FALSE(formatStatement(read));
+  read.Text = "READ 1a4";
+  read.Id = "a COMMIT";
+  CHECK_FALSE(formatStatement(read));
+  Statement execute;
+  execute.Kind = StatementKind::Execute;
+  execute.Name = "r_q7";
+  CHECK_FALSE(formatStatement(execute));
+}
+
 TEST_CASE_FIXTURE(ReaderFixture, "target's answer, rows, is assembled") {
   auto it = readLines({"ROW qhz", "ROW k", "COMPLETE 7.1f3", "READY I 3.1209"});
   REQUIRE(it);
