Lists: an object without a readable name, is logged once and ends no list

Seen by callers: a log line for such an object with each list. Where it is alone on a page (one of a megabyte is), the list ended there: the targets after it counted as gone, and with a page that repeats the last name the next list followed without a pause.

Cause: a page tells the next one by the name of its last object. Without a new name there is no next one, which counted as the end. Now it ends the list, but what was known of the objects after it is kept; the watch reports their changes. The store's client counts such objects and the cache logs their number when it changes. An empty name counts as none.

Evidence: "page without a new name, is the last one and the objects after it are kept" (2 objects for 3, a further list), "object without a readable name, is logged once" and "entry whose name cannot be read, the others are read" (the empty name) failed before and pass.

--- a/src/proxy/object_cache.cpp
+++ b/src/proxy/object_cache.cpp
@@ -156,15 +156,29 @@
     listing->Revision = page.Revision;
     listing->ConfirmedAt = Time.now() - page.Age;
   }
+  listing->Nameless += page.Nameless;
   std::string last;
+  auto read = listing->All.size();
   for (auto &it : page.Objects) {
     last = it.Name;
     listing->All[last] = std::move(it);
   }
-  if (page.More && !last.empty())
+  bool isNew = listing->All.size() > read;
+  if (page.More && isNew) {
     listPage(listing, last);
-  else
-    handleList(std::move(*listing));
+    return;
+  }
+  listing->IsCutOff = page.More;
+  handleList(std::move(*listing));
+}
+
+/// Each list contains the same ones again.
+void ObjectCache::reportNameless(std::size_t count) {
+  if (count > 0 && count != Nameless)
+    telemetry::log(Event::EntryUnreadable,
+                   {field("kind", Options.Kind), field("objects", count),
+                    field("why", "object without name or revision")});
+  Nameless = count;
 }
 
 void ObjectCache::handleList(Listing listing) {
@@ -174,11 +188,16 @@
   Revision = listing.Revision;
   handleAvailable(listing.ConfirmedAt);
   MustList = false;
+  reportNameless(listing.Nameless);
   auto before = std::exchange(Cached, std::move(listing.All));
   RetainedMissing.clear();
   for (const auto &[name, it] : before) {
     if (Cached.contains(name))
       continue;
+    if (listing.IsCutOff) {
+      Cached[name] = it;
+      continue;
+    }
     recordDeletion(name, Revision);
     if (GraceUntil) {
       Cached[name] = it;
@@ -229,6 +248,8 @@
   }
   handleAvailable(Time.now() - changes.Age);
   Revision = std::max(Revision, changes.Revision);
+  if (changes.Nameless > 0)
+    reportNameless(changes.Nameless);
   for (const auto &it : changes.Objects) {
     if (it.Deleted) {
       recordDeletion(it.Name, Revision);
--- a/src/proxy/object_cache.h
+++ b/src/proxy/object_cache.h
@@ -96,6 +96,8 @@
   std::uint64_t Revision = 0;
   Duration Age{};            ///< Since the store's answer.
   http::Transfer Received{}; ///< Also set for a call that timed out.
+  /// Objects left out, as their names or revisions cannot be read.
+  std::size_t Nameless = 0;
 };
 /// A watch's answer has the same fields.
 using ObjectChanges = ObjectPage;
@@ -209,6 +211,8 @@
     Objects All;
     std::uint64_t Revision = 0; ///< Of the first page.
     TimePoint ConfirmedAt{};    ///< Of the first page.
+    std::size_t Nameless = 0;
+    bool IsCutOff = false; ///< No name was read to continue from.
   };
   using ListingPtr = std::shared_ptr<Listing>;
 
@@ -222,6 +226,7 @@
   void listPage(const ListingPtr &listing, const std::string &after);
   void handlePage(const ListingPtr &listing, ObjectPage page);
   void handleList(Listing listing);
+  void reportNameless(std::size_t count);
   void retryAfter(Duration pause);
   void startWatch();
   void handleChanges(const ObjectChanges &changes);
@@ -253,6 +258,7 @@
   std::vector<std::function<void()>> RefreshCallbacks;
   std::optional<TimePoint> GraceUntil;
   std::set<std::string> RetainedMissing; ///< Kept until GraceUntil.
+  std::size_t Nameless = 0; ///< Objects of the last list or change.
   /// Names and revisions of deleted objects, complete since DeletionsSince.
   std::deque<std::pair<std::string, std::uint64_t>> Deletions;
   std::uint64_t DeletionsSince = 0;
--- a/tests/adapter/store_test.cpp
+++ b/tests/adapter/store_test.cpp
@@ -161,6 +161,15 @@
   REQUIRE(out.Outcome == proxy::ReadOutcome::Done);
   REQUIRE(out.Objects.size() == 1);
   CHECK(out.Objects[0].Name == "c");
+  CHECK(out.Nameless == 3);
+  for (const char *name : {"\"\"", "\"\xff\"", "\"\\ud800\"", "7", "null"}) {
+    CAPTURE(name);
+    auto odd = list(fmt::format(R"({{"at_rev":9,"items":[{{"meta":{{)"
+                                R"("name":{},"revision":5}}}},{}]}})",
+                                name, entry("c", Ready)));
+    CHECK(odd.Objects.size() == 1);
+    CHECK(odd.Nameless == 1);
+  }
 }
 
 // Guards against lists that the store refuses, or that begin again with each
--- a/tests/proxy/object_cache_test.cpp
+++ b/tests/proxy/object_cache_test.cpp
@@ -95,6 +95,51 @@
   CHECK(Source.WatchedFrom == 10);
 }
 
+// Guards against targets that are lost, or lists without end, because of a page
+// that holds an unreadable object only.
+TEST_CASE_FIXTURE(MirrorFixture,
+                  "page without a new name, is the last one and the objects "
+                  "after it are kept") {
+  Source.Lists[0](page({object("a", 3), object("b", 4), object("d", 5)}, 10));
+  for (bool isRepeated : {false, true}) {
+    Cache.refresh();
+    Source.Lists.back()(page({object("a", 3), object("b", 6)}, 20, true));
+    auto lists = Source.Lists.size();
+    auto second = page({}, 20, true);
+    if (isRepeated)
+      second.Objects = {object("b", 6)};
+    else
+      second.Nameless = 1;
+    Source.Lists.back()(second);
+    CHECK(Source.Lists.size() == lists);
+    CHECK(Cache.objects().size() == 3);
+    CHECK(Cache.objects().at("b").Revision == 6);
+    CHECK(Source.WatchedFrom == 20);
+  }
+}
+
+// Guards against a log that is filled by one object.
+TEST_CASE_FIXTURE(MirrorFixture,
+                  "object without a readable name, is logged once") {
+  std::size_t lines = 0;
+  telemetry::setLineSink([&](const std::string &line) {
+    lines += line.find("entry unreadable") != std::string::npos;
+  });
+  auto list = [this](std::size_t nameless) {
+    auto it = page({object("a", 3)}, 10);
+    it.Nameless = nameless;
+    Source.Lists.back()(it);
+    Cache.refresh();
+  };
+  for (std::size_t n : {0, 1, 1, 1})
+    list(n);
+  CHECK(lines == 1);
+  for (std::size_t n : {2, 2, 0, 1})
+    list(n);
+  CHECK(lines == 3);
+  telemetry::setLineSink(nullptr);
+}
+
 TEST_CASE_FIXTURE(MirrorFixture, "watch, history gone, lists again") {
   Source.Lists[0](page({object("a", 3)}, 10));
   Source.Watch({ReadOutcome::Gone, {}, false, 0});
