Targets: an entry of another program names none

Seen by callers: with an entry that has most of a target's fields, a database could be without a primary: one that claims to lead is taken for it; and where commits wait for a replica, no replica is promoted while one that is listed does not answer. A name or service with a line end went into the line that opens a session, so that a target would run statements which no client sent.

Cause: entries without version, slots, cold_ms or sequence were accepted, slots out of range became 1, and names were not checked. The users' pages say that such an entry names no backend to use.

The test "number of slots out of range, has the default" was wrong by that sentence. The entry of store_test.cpp has the missing fields now.

--- a/tests/adapter/entries_test.cpp
+++ b/tests/adapter/entries_test.cpp
@@ -1,6 +1,7 @@
 #include "entries.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace peridotfall;
 using namespace peridotfall::adapter;
@@ -52,16 +53,61 @@
 }
 
 // Guards against a number that is converted to a meaningless one.
-TEST_CASE("target entry, number of slots out of range, has the default") {
-  for (const char *slots : {"1e300", "4294967296", "-1", "\"many\""}) {
+TEST_CASE("target entry, number of slots out of range, is rejected") {
+  for (const char *slots :
+       {"1e300", "4294967296", "18446744073709551616", "-1", "\"many\""}) {
     CAPTURE(slots);
-    auto it = parseTarget(
+    CHECK_FALSE(parseTarget(
         makeObject(entryWith("\"slots\":2",
                              ("\"slots\":" + std::string(slots)).c_str())),
+        Regions));
+  }
+  for (std::uint32_t slots : {0U, 4294967295U}) {
+    auto it = parseTarget(
+        makeObject(entryWith("\"slots\":2",
+                             ("\"slots\":" + std::to_string(slots)).c_str())),
         Regions);
     REQUIRE(it);
-    CHECK(it.value().Slots == 1);
+    CHECK(it.value().Slots == slots);
+  }
+}
+
+// Guards against a primary taken from another program's entry.
+TEST_CASE("target entry, any field missing, is rejected") {
+  for (const char *name : {"service", "address", "zone", "version", "slots",
+                           "state", "cold_ms", "db_role", "sequence", "born"}) {
+    CAPTURE(name);
+    CHECK_FALSE(parseTarget(makeObject(entryWith(name, "other")), Regions));
+  }
+}
+
+// Guards against statements of another writer in a line that opens a session.
+TEST_CASE("target entry, name or service is no word, is rejected") {
+  for (const std::string &name :
+       {std::string(), std::string("a b"), std::string("a\r\nQUERY - PAUSE 9"),
+        std::string("a\nb"), std::string("a\0b", 3), std::string("a\tb"),
+        std::string(1 << 20, 'a')}) {
+    CAPTURE(name.substr(0, 20));
+    auto object = makeObject(Entry);
+    object.Name = name;
+    CHECK_FALSE(parseTarget(object, Regions));
+    auto spec = nlohmann::json::parse(Entry);
+    spec["service"] = name;
+    CHECK_FALSE(parseTarget(makeObject(spec.dump()), Regions));
+  }
+}
+
+TEST_CASE("target entry, address to which nothing connects, is rejected") {
+  for (const char *address :
+       {"", "1.2.3.4", "1.2.3.4:", "1.2.3.4:0", "1.2.3.4:65536", "1.2.3.4:-1",
+        "1.2.3.4:99999999999", " 1.2.3.4:80", "1.2.3.4:80 ", "1.2.3.4:80\\r\\n",
+        "host:80", "[::1]", "[::1]:0", "1.2.3.4.5:80"}) {
+    CAPTURE(address);
+    CHECK_FALSE(parseTarget(makeObject(entryWith("10.128.0.9:8080", address)),
+                            Regions));
   }
+  CHECK(parseTarget(makeObject(entryWith("10.128.0.9:8080", "[::1]:65535")),
+                    Regions));
 }
 
 TEST_CASE("target entry, malformed, is rejected") {
--- a/tests/adapter/store_test.cpp
+++ b/tests/adapter/store_test.cpp
@@ -37,7 +37,8 @@
 
 const std::string Ready =
     R"({"service":"g","address":"127.0.0.1:1","zone":"z","state":"ready",)"
-    R"("db_role":"replica","born":1})";
+    R"("db_role":"replica","version":"v1","slots":2,"cold_ms":0,)"
+    R"("sequence":1,"born":1})";
 
 /// A store that gives the same response to all requests.
 struct StoreFixture {
