Calls to daemons: an address that is none, fails after the call

Seen by callers: nothing was observed. Cause: a daemon's object with an address such as 'nowhere' was listed, and a call there was answered from within the call, unlike any other one. Who begins a lease or a promotion query stores the call after it returns, so that the answer would find nothing, or what is stored would never be answered. Channels posts the answer for an empty address for this reason; the channel now posts it for all others.

--- a/src/http/channel.cpp
+++ b/src/http/channel.cpp
@@ -126,7 +126,10 @@
   Connecting = true;
   auto endpoint = parseEndpoint(Address);
   if (!endpoint) {
-    onConnected(std::make_error_code(std::errc::invalid_argument));
+    // Callers expect no answer from within their call.
+    asio::post(Loop, [self = shared_from_this()] {
+      self->onConnected(std::make_error_code(std::errc::invalid_argument));
+    });
     return;
   }
   Io = std::make_shared<Pump>(
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -134,6 +134,27 @@
   CHECK((it.error().Kind == Failure::NotSent));
 }
 
+// Guards against a caller that has not stored the call when its answer comes.
+TEST_CASE("channel, no address, reports not sent after the call") {
+  for (const char *address : {"", "nowhere", "10.1.0.8:65536", "10.1.0.8"}) {
+    CAPTURE(address);
+    asio::io_context loop;
+    auto open = std::make_shared<Channel>(loop, address, ChannelOptions{});
+    std::optional<CallResult> result;
+    bool isWithin = true;
+    asio::post(loop, [&] {
+      open->call({}, std::chrono::seconds(20),
+                 [&](CallResult it) { result = std::move(it); });
+      isWithin = result.has_value();
+    });
+    loop.run();
+    CHECK_FALSE(isWithin);
+    REQUIRE(result);
+    REQUIRE_FALSE(*result);
+    CHECK(result->error().Kind == Failure::NotSent);
+  }
+}
+
 TEST_CASE_FIXTURE(ServerFixture,
                   "channel, connection lost in flight, reports may have "
                   "run") {
