Watcher's record overwritten, a daemon that starts replaces it

Seen by callers: nothing directly; in a failure domain whose record was overwritten with something unreadable, each daemon that starts lists the store itself, which fills the link of a region that starts (docs/incidents/region-start-fills-link.md).

Cause: a record that cannot be read counted as missing. It was to be created, the store refused since it exists, and the search ended without a watcher. Only a daemon that watches for others replaced it, and there is none before the members are listed. Now its revision is known, and one daemon replaces it.

Evidence: "first watcher, record unreadable, one replaces it and the others call that one" failed before (not replaced) and passes. In the other tests of the file only the access to the daemon named has changed, as it may be missing.

--- a/src/proxy/first_watcher.cpp
+++ b/src/proxy/first_watcher.cpp
@@ -42,11 +42,13 @@
 
 void FirstWatcher::handleRead(ReadOutcome outcome,
                               const std::optional<WatcherRecord> &record) {
-  bool isMissing = !record || record->Revision == LostRevision;
+  // One that cannot be read is replaced like a missing one.
+  bool isMissing =
+      !record || !record->Named || record->Revision == LostRevision;
   bool mayWrite = outcome == ReadOutcome::Done && isMissing && !Refused;
   CurrentStep = mayWrite ? Step::ToWrite : Step::Over;
   ReplacedRevision = record ? record->Revision : 0;
-  if (!record || record->Named.Vm == Self)
+  if (!record || !record->Named || record->Named->Vm == Self)
     return;
   Found = record->Named;
   FoundRevision = record->Revision;
--- a/src/proxy/first_watcher.h
+++ b/src/proxy/first_watcher.h
@@ -39,7 +39,7 @@
 
 /// The daemon that a record names, and the record's revision in the store.
 struct WatcherRecord {
-  Member Named;
+  std::optional<Member> Named; ///< Empty if it cannot be read.
   std::uint64_t Revision = 0;
 
   auto operator<=>(const WatcherRecord &) const = default;
--- a/tests/proxy/first_watcher_test.cpp
+++ b/tests/proxy/first_watcher_test.cpp
@@ -66,7 +66,7 @@
     for (std::size_t n = 0; n < members.size(); ++n)
       step(members[n], searches[n], now);
   REQUIRE(Record);
-  CHECK(Record->Named.LinkMbps == 1'000);
+  CHECK(Record->Named->LinkMbps == 1'000);
   // Those that look for the record in the same moment all find none.
   CHECK(Writes <= 3);
   CHECK(Reads <= members.size() + Writes);
@@ -85,7 +85,7 @@
   step(daemonOf(2, 20), search, TimePoint{});
   REQUIRE(search.isOver(TimePoint{}));
   REQUIRE(search.watcher());
-  CHECK(search.watcher()->Vm == Record->Named.Vm);
+  CHECK(search.watcher()->Vm == Record->Named->Vm);
 }
 
 // Guards against a daemon that waits for itself to pass on the list.
@@ -121,7 +121,7 @@
   for (const auto &it : searches) {
     CHECK(it.isOver(TimePoint{} + milliseconds(1'000)));
     listing += !it.watcher();
-    CHECK((!it.watcher() || it.watcher()->Vm == Record->Named.Vm));
+    CHECK((!it.watcher() || it.watcher()->Vm == Record->Named->Vm));
   }
   CHECK(listing == 1);
 }
@@ -140,6 +140,25 @@
   CHECK(silent.isOver(TimePoint{} + proxy::limits::RecordTimeout));
 }
 
+// Guards against a domain whose daemons all list the store at each start, since
+// another program has overwritten the record.
+TEST_CASE_FIXTURE(WatcherRecordFixture,
+                  "first watcher, record unreadable, one replaces it and the "
+                  "others call that one") {
+  Record = {std::nullopt, ++Revision};
+  FirstWatcher first(daemonOf(1, 20), false, TimePoint{});
+  FirstWatcher second(daemonOf(2, 20), false, TimePoint{});
+  for (int n = 0; n < 4; ++n) {
+    step(daemonOf(1, 20), first, TimePoint{});
+    step(daemonOf(2, 20), second, TimePoint{});
+  }
+  REQUIRE(Record->Named);
+  CHECK(Record->Named->Vm == daemonOf(1, 20).Vm);
+  CHECK_FALSE(first.watcher());
+  REQUIRE(second.watcher());
+  CHECK(second.watcher()->Vm == daemonOf(1, 20).Vm);
+}
+
 // Guards against calls without end if the record cannot be read.
 TEST_CASE("first watcher, record refused and unreadable, makes three calls") {
   FirstWatcher search(daemonOf(2, 20), false, TimePoint{});
