Records of ours: numbers, names and addresses out of range are not valid

Seen by callers: a daemon could be lost to the others, or no primary be replaced, after another program wrote into its object or the leader's record.

Cause: any 64-bit number was taken. A daemon that starts counts on from its listed incarnation, and a leader from the last number, so that 2^64-1 became 0: the others ignore such a daemon, and the platform refuses such a promotion. An address that is none replaced the one of a live daemon at all others, and that daemon saw no reason to write its object again. Names of a megabyte went on with each message between daemons. Link widths of 2^32+5 became 5.

--- a/tests/adapter/entries_test.cpp
+++ b/tests/adapter/entries_test.cpp
@@ -206,3 +206,66 @@
       "address":"10.1.0.8:7440","incarnation":7})";
   CHECK(parseDaemon({"vm", earlier, 3, false}).value().LinkMbps == 0);
 }
+
+// Guards against numbers that wrap around to ones granted before, and against
+// daemons to which nobody can connect.
+TEST_CASE("record of ours, numbers or address out of range, is not valid") {
+  const nlohmann::json member{{"domain", "press"},
+                              {"region", "tartu"},
+                              {"address", "10.1.0.8:7440"},
+                              {"incarnation", 7},
+                              {"vm", "vm"}};
+  const nlohmann::json leader{
+      {"holder", "vm"}, {"incarnation", 7}, {"first", 65}, {"last", 129}};
+  REQUIRE(parseDaemon(makeObject(member.dump())));
+  REQUIRE(parseWatcherRecord(makeObject(member.dump())).Named);
+  REQUIRE(parseLeadershipRecord(leader.dump()));
+  const nlohmann::json tooLarge = std::uint64_t{1} << 53;
+  const std::string tooLong(1 << 20, 'a');
+  struct {
+    const char *Field;
+    nlohmann::json Value;
+  } cases[] = {{"incarnation", tooLarge},
+               {"incarnation", -1},
+               {"incarnation", 0.5},
+               {"incarnation", 1e300},
+               {"incarnation", UINT64_MAX},
+               {"address", "nowhere"},
+               {"address", "10.1.0.8:0"},
+               {"address", "10.1.0.8:65536"},
+               {"address", "10.1.0.8:1\r\n"},
+               {"address", ""},
+               {"first", 0},
+               {"first", 130},
+               {"first", UINT64_MAX},
+               {"last", tooLarge},
+               {"domain", tooLong},
+               {"region", tooLong},
+               {"holder", tooLong},
+               {"last", UINT64_MAX},
+               {"last", "129"}};
+  for (const auto &it : cases) {
+    CAPTURE(it.Field);
+    CAPTURE(it.Value.dump().substr(0, 40));
+    bool isOfLeader = leader.contains(it.Field);
+    if (member.contains(it.Field)) {
+      auto odd = member;
+      odd[it.Field] = it.Value;
+      CHECK_FALSE(parseDaemon(makeObject(odd.dump())));
+      auto record = parseWatcherRecord(makeObject(odd.dump()));
+      CHECK_FALSE(record.Named);
+      CHECK(record.Revision == 12);
+    }
+    if (isOfLeader) {
+      auto odd = leader;
+      odd[it.Field] = it.Value;
+      CHECK_FALSE(parseLeadershipRecord(odd.dump()));
+    }
+  }
+  auto unnamed = makeObject(member.dump());
+  unnamed.Name = tooLong;
+  CHECK_FALSE(parseDaemon(unnamed));
+  auto wide = member;
+  wide["link_mbps"] = (std::uint64_t{1} << 32) + 5;
+  CHECK(parseDaemon(makeObject(wide.dump())).value().LinkMbps == 0);
+}
