Failover: a record that was overwritten or removed is replaced

Seen by callers: once another program had overwritten the failover leader's record with something unreadable, a primary that failed or left got no successor until an operator restored the record, at the latest when the leader's reserved numbers were used up or it ended. After a removal, numbers began again at 1: the platform refuses those below what it has seen, and where it does not check them, older calls win over newer ones.

Cause: the record was left alone, since its numbers must not be granted twice and no other place tells them. But the store's revision does: each write of the record raises it and grants 65 numbers at most, so none above 65 times a revision can have been granted by then. With a margin, 256 times the record's revision, or the store's where it is missing, is above all of them, and needs no memory of the record.

Now nobody leads by a record that cannot be read, or that has numbers never granted. The last holder claims leadership again at once; another daemon after the lease, and only if that holder is missing, as with a readable record. The write is conditional as always. Where the holder is not known, as after a start of all daemons, the lease is waited for. The record is logged once for each of its versions.

Ruled out: to rewrite the record as it was, since it may have been another daemon's; to claim at once everywhere, since the last holder may still promote.

--- a/src/proxy/failover_controller.cpp
+++ b/src/proxy/failover_controller.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/events.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotfall::proxy {
 
@@ -26,17 +27,24 @@
       LastTick(clock.now()) {}
 
 bool FailoverController::isLeader() const {
-  return Record && Record->Holder == Self.Vm &&
+  return Record && !IsUnreadable && Record->Holder == Self.Vm &&
          Record->Incarnation == Incarnation;
 }
 
 void FailoverController::handleRecord(
     const std::optional<LeadershipRecord> &record, std::uint64_t revision) {
+  if (record && record->Last > revision * limits::MaxNumbersPerWrite) {
+    handleUnreadableRecord(
+        {ErrorCode::Invalid, "duty record: numbers that were never granted"},
+        revision);
+    return;
+  }
   bool held = isLeader();
   bool otherHolder = !Record || !record || record->Holder != Record->Holder ||
                      record->Incarnation != Record->Incarnation;
   RecordKnown = true;
   Record = record;
+  IsUnreadable = false;
   Revision = revision;
   if (otherHolder)
     noteHolderSeen();
@@ -57,6 +65,30 @@
   }
 }
 
+/// Nobody leads by such a record: it may have replaced one that named another
+/// daemon. The last holder that is known claims leadership again at once, or
+/// another daemon after the lease. Without this no primary would be replaced
+/// until an operator restores the record.
+void FailoverController::handleUnreadableRecord(const Error &why,
+                                                std::uint64_t revision) {
+  if (!IsUnreadable || revision != Revision)
+    telemetry::log(Event::DutyRecordUnreadable,
+                   {field("why", why.Message), field("revision", revision)});
+  RecordKnown = true;
+  Revision = revision;
+  if (StoreQueried && !StoreReachedAt)
+    StoreReachedAt = Time.now();
+  bool held = isLeader();
+  if (!std::exchange(IsUnreadable, true))
+    noteHolderSeen();
+  Targets.setWatchesAll(false);
+  if (held) {
+    Changes.clear();
+    telemetry::log(Event::DutyLost,
+                   {field("holder", "none"), field("revision", revision)});
+  }
+}
+
 void FailoverController::updateMembers(const std::vector<Member> &live) {
   Live = live;
   TakeoverRank.reset();
@@ -90,8 +122,10 @@
       reserveNumbers();
     return;
   }
+  // Only another daemon's process is waited for.
+  bool isOther = Record && Record->Holder != Self.Vm;
   bool alive =
-      Record && std::any_of(Live.begin(), Live.end(), [&](const Member &it) {
+      isOther && std::any_of(Live.begin(), Live.end(), [&](const Member &it) {
         // 0: no message with the member's incarnation has arrived yet.
         bool same =
             it.Incarnation == 0 || it.Incarnation == Record->Incarnation;
@@ -115,14 +149,15 @@
     return;
   auto stagger = Duration(limits::LeadershipStagger) * *ownRank;
   auto missed = now - HolderSeenAt;
-  if (!Record) {
+  if (!Record && !IsUnreadable) {
     if (missed >= stagger)
       claimLeadership(now);
     return;
   }
-  // The record names an earlier process of this VM, which has ended. Waiting
-  // for its lease would leave failed primaries without a replacement.
-  if (Record->Holder == Self.Vm) {
+  // The record names an earlier process of this VM, which has ended, or named
+  // this one until it was overwritten. Waiting for the lease would leave failed
+  // primaries without a replacement.
+  if (Record && Record->Holder == Self.Vm) {
     claimLeadership(now);
     return;
   }
@@ -137,15 +172,23 @@
     claimLeadership(now);
 }
 
+/// \return a number above all that were ever granted. Where no record tells,
+/// the store's revision does, which each write of the record raises.
+std::uint64_t FailoverController::nextFreeNumber() const {
+  if (Record && !IsUnreadable)
+    return Record->Last + 1;
+  return Revision * limits::MaxNumbersPerWrite + 1;
+}
+
 void FailoverController::claimLeadership(TimePoint now) {
   LeadershipRecord next;
   next.Holder = Self.Vm;
   next.Incarnation = Incarnation;
-  next.First = Record ? Record->Last + 1 : 1;
+  next.First = nextFreeNumber();
   next.Last = next.First + limits::ReservedNumbers;
   Writing = true;
   NextClaim = now + limits::LeadershipRetryPause;
-  Port.writeRecord(next, Record ? Revision : 0);
+  Port.writeRecord(next, Record || IsUnreadable ? Revision : 0);
 }
 
 void FailoverController::reserveNumbers() {
--- a/src/proxy/failover_controller.h
+++ b/src/proxy/failover_controller.h
@@ -7,6 +7,7 @@
 #define PERIDOTFALL_PROXY_FAILOVER_CONTROLLER_H
 
 #include "peridotfall/membership.h"
+#include "peridotfall/result.h"
 #include "proxy/groups.h"
 #include "proxy/metrics.h"
 #include "proxy/successor.h"
@@ -80,6 +81,11 @@
 /// while the store is unavailable; below MinNumbersLeft more are reserved.
 inline constexpr std::uint64_t ReservedNumbers = 64;
 inline constexpr std::uint64_t MinNumbersLeft = 32;
+/// No write of the record may grant more numbers, whatever the version: where
+/// the record was overwritten or removed, its revision or the store's times
+/// this is above all numbers that were granted.
+inline constexpr std::uint64_t MaxNumbersPerWrite = 256;
+static_assert(ReservedNumbers < MaxNumbersPerWrite);
 
 } // namespace limits
 
@@ -135,8 +141,11 @@
                      const Clock &clock);
 
   /// \param record empty if the store has none.
+  /// \param revision of the record, or else of the store.
   void handleRecord(const std::optional<LeadershipRecord> &record,
                     std::uint64_t revision);
+  /// Another program has overwritten the record.
+  void handleUnreadableRecord(const Error &why, std::uint64_t revision);
   void handleWritten(CallOutcome outcome);
   void updateMembers(const std::vector<Member> &live);
   /// \param number of the call; if empty, that of the last one. An answer to
@@ -193,6 +202,7 @@
   void restartSuspicions();
   void handleMissingHolder(TimePoint now);
   void claimLeadership(TimePoint now);
+  std::uint64_t nextFreeNumber() const;
   void reserveNumbers();
   /// \return this daemon's rank among those that may become leader; empty if it
   /// may not.
@@ -222,7 +232,8 @@
   FailoverPort &Port;
   ProxyMetrics &Metrics;
   const Clock &Time;
-  std::optional<LeadershipRecord> Record;
+  std::optional<LeadershipRecord> Record; ///< The last one that was read.
+  bool IsUnreadable = false;              ///< The record in the store now.
   std::uint64_t Revision = 0;
   bool RecordKnown = false; ///< Record is up to date, also if empty.
   bool Writing = false;
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -342,6 +342,102 @@
   CHECK(Calls.WrittenOver == 9);
 }
 
+// Guards against failed primaries that nobody replaces, since another program
+// has overwritten the record, and against numbers that were granted before.
+TEST_CASE_FIXTURE(FailoverControllerFixture,
+                  "record of the leader overwritten, it claims leadership "
+                  "again at once with higher numbers") {
+  becomeLeader();
+  Failover.handleUnreadableRecord({}, 100);
+  CHECK_FALSE(Failover.isLeader());
+  run(milliseconds(40));
+  REQUIRE(Calls.Written);
+  CHECK(Calls.Written->Holder.Value == "vm");
+  CHECK(Calls.Written->First == 25'601);
+  CHECK(Calls.WrittenOver == 100);
+  Failover.handleWritten(CallOutcome::Done);
+  Failover.handleRecord(Calls.Written, 101);
+  CHECK(Failover.isLeader());
+  run(milliseconds(960));
+  crashPrimary();
+  run(milliseconds(680));
+  reportFromPeers({8, 0});
+  run(milliseconds(100));
+  REQUIRE(Calls.choices().size() == 1);
+  CHECK(Calls.choices()[0].Number == 25'601);
+}
+
+// Guards against two daemons promoting in turn.
+TEST_CASE_FIXTURE(FailoverControllerFixture,
+                  "record of another leader overwritten, leadership is claimed "
+                  "after the lease, and only if that one is missing") {
+  for (bool isKnown : {true, false})
+    for (bool isAlive : {true, false}) {
+      CAPTURE(isKnown);
+      CAPTURE(isAlive);
+      FailoverController other{
+          {VmName("vm"), DomainName("press"), RegionName("tartu")},
+          Incarnation,
+          TargetGroups,
+          Calls,
+          Metrics,
+          Time};
+      Calls.Written.reset();
+      std::vector<Member> live{member("vm", Incarnation)};
+      if (isAlive)
+        live.push_back(member("leader", 3));
+      other.updateMembers(live);
+      if (isKnown)
+        other.handleRecord(LeadershipRecord{VmName("leader"), 3, 1, 9'000}, 90);
+      auto pass = [&](Duration span) {
+        constexpr milliseconds Step{20};
+        for (Duration done{}; done < span; done += Step) {
+          Time.advance(Step);
+          other.tick();
+          other.handleUnreadableRecord({}, 100);
+        }
+      };
+      pass(milliseconds(2'000));
+      CHECK_FALSE(Calls.Written);
+      pass(milliseconds(2'000));
+      CHECK(Calls.Written.has_value() != (isKnown && isAlive));
+      if (Calls.Written) {
+        CHECK(Calls.Written->First == 25'601);
+        CHECK(Calls.WrittenOver == 100);
+      }
+    }
+}
+
+// Guards against numbers that were granted before the record was removed.
+TEST_CASE_FIXTURE(FailoverControllerFixture,
+                  "record removed, is created again with higher numbers") {
+  becomeLeader();
+  Failover.handleRecord(std::nullopt, 80);
+  run(milliseconds(100));
+  REQUIRE(Calls.Written);
+  CHECK(Calls.Written->First == 20'481);
+  CHECK(Calls.WrittenOver == 0);
+}
+
+// Guards against numbers that wrap around, or that no later record exceeds.
+TEST_CASE_FIXTURE(FailoverControllerFixture,
+                  "record with numbers never granted, is replaced") {
+  Failover.updateMembers({member("vm", Incarnation)});
+  for (std::uint64_t last : {std::uint64_t{2'305}, std::uint64_t{1} << 53,
+                             std::uint64_t{UINT64_MAX}}) {
+    CAPTURE(last);
+    Calls.Written.reset();
+    Failover.handleRecord(LeadershipRecord{VmName("vm"), 7, 1, 64}, 8);
+    Failover.handleRecord(LeadershipRecord{VmName("vm"), 7, 1, last}, 9);
+    CHECK_FALSE(Failover.isLeader());
+    run(milliseconds(600));
+    REQUIRE(Calls.Written);
+    CHECK(Calls.Written->First == 2'305);
+    CHECK(Calls.WrittenOver == 9);
+    Failover.handleWritten(CallOutcome::Done);
+  }
+}
+
 TEST_CASE_FIXTURE(FailoverControllerFixture,
                   "leader missing and seen again, leadership is not claimed") {
   LeadershipRecord other{VmName("other"), 3, 1, 64};
