Log: values end after 1,024 bytes, control characters are not written

Seen by callers: nothing was observed. Cause: the name or state of another program's entry was logged in full, up to a megabyte a line, and 1,024 lines wait for a reader that is slow: more than a small VM's memory, beyond which a process is killed. Escape characters went to the terminal of who reads the log.

Evidence: "long value and control characters, are not written" failed before (the line of a megabyte, and four of the six characters) and passes.

--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -23,21 +23,28 @@
 
 constexpr std::string_view LevelNames[] = {"debug", "info", "warning", "error"};
 
+/// Bytes of a value in the log. Names and texts of other programs may have a
+/// megabyte, and a thousand lines may wait for a slow reader.
+constexpr std::size_t MaxValueBytes = 1'024;
+
+bool isControl(char c) {
+  constexpr unsigned char Blank = ' ';
+  constexpr char Delete = 0x7f;
+  return static_cast<unsigned char>(c) < Blank || c == Delete;
+}
+
 std::string quote(const std::string &value) {
-  if (!value.empty() &&
-      value.find_first_of(" \"=\n\r\t\\") == std::string::npos)
+  if (!value.empty() && value.size() <= MaxValueBytes &&
+      value.find_first_of(" \"=\\") == std::string::npos &&
+      std::none_of(value.begin(), value.end(), isControl))
     return value;
   std::string out = "\"";
-  for (char c : value) {
-    if (c == '\n' || c == '\r')
-      out += ' ';
-    else {
-      if (c == '"' || c == '\\')
-        out += '\\';
-      out += c;
-    }
+  for (char c : value.substr(0, MaxValueBytes)) {
+    if (c == '"' || c == '\\')
+      out += '\\';
+    out += isControl(c) ? ' ' : c;
   }
-  return out + "\"";
+  return out + (value.size() > MaxValueBytes ? "...\"" : "\"");
 }
 
 } // namespace
--- a/tests/telemetry/events_test.cpp
+++ b/tests/telemetry/events_test.cpp
@@ -1,5 +1,6 @@
 #include "telemetry/events.h"
 #include "telemetry/events_page.h"
+#include "telemetry/log_writer.h"
 
 #include <doctest/doctest.h>
 #include <fstream>
@@ -46,3 +47,21 @@
   CHECK_FALSE(findEvent("PF1001x"));
   CHECK_FALSE(findEvent(""));
 }
+
+// Guards against memory taken by lines, and against a line or terminal command
+// of another writer.
+TEST_CASE("Events: long value and control characters, are not written") {
+  std::string line;
+  setLineSink([&](const std::string &it) { line = it; });
+  log(Event::EntryUnreadable, {field("name", std::string(1 << 20, 'a'))});
+  CHECK(line.size() < 2'000);
+  CHECK(line.ends_with("aaa...\""));
+  for (char c : {'\0', '\t', '\n', '\r', '\x1b', '\x7f'}) {
+    CAPTURE(static_cast<int>(c));
+    log(Event::EntryUnreadable, {field("name", std::string("a") + c + "b")});
+    CHECK(line.ends_with(" name=\"a b\""));
+  }
+  log(Event::EntryUnreadable, {field("name", "i-7f3a"), field("why", "a \"b")});
+  CHECK(line.ends_with(R"( name=i-7f3a why="a \"b")"));
+  setLineSink(nullptr);
+}
