Own record overwritten, a daemon writes it again

Seen by callers: nothing was observed; found by reading. Another program that writes a valid address, failure domain or incarnation into a daemon's object changes it at all others: they connect to that address, and those that start ignore what an incarnation below the listed one reports.

Cause: a daemon that has written its object took whatever was listed for its own, and wrote it again only when it was missing. Now it compares what is listed with what it writes. A list that another daemon passes on may be older than the last write, so the object is written again only when that is five seconds ago (a shared watch waits 2 s, and the pause after a change is 1 s); otherwise a fleet that restarts would write all objects twice. The incarnation stays: a running daemon's may be in the leader's record.

Evidence: "own record overwritten, is written again with the same incarnation" failed before (not due) and passes.

--- a/src/proxy/own_record.cpp
+++ b/src/proxy/own_record.cpp
@@ -2,7 +2,8 @@
 
 namespace peridotfall::proxy {
 
-bool OwnRecord::handleListed(std::optional<std::uint64_t> listed) {
+bool OwnRecord::handleListed(std::optional<std::uint64_t> listed, bool isOwn) {
+  Overwritten = Written && listed && !(isOwn && *listed == Incarnation);
   if (!listed) {
     Written = false;
     return false;
@@ -15,12 +16,18 @@
 }
 
 bool OwnRecord::isDue(bool listCurrent, TimePoint now) const {
-  return listCurrent && !Written && !Writing && now >= NotBefore.value_or(now);
+  bool overwritten = Overwritten && now >= WrittenAt + limits::OwnRecordListLag;
+  return listCurrent && (!Written || overwritten) && !Writing &&
+         now >= NotBefore.value_or(now);
 }
 
 void OwnRecord::writeEnded(bool done, TimePoint now) {
   Writing = false;
-  Written = done;
+  Written = done || Overwritten;
+  if (done) {
+    Overwritten = false;
+    WrittenAt = now;
+  }
   NotBefore = now + limits::OwnRecordRetryPause;
 }
 
--- a/src/proxy/own_record.h
+++ b/src/proxy/own_record.h
@@ -19,6 +19,10 @@
 /// while the store is slow; two writes a second from each are a fraction of the
 /// store's rate at present sizes.
 inline constexpr std::chrono::milliseconds OwnRecordRetryPause{500};
+/// Lists that another daemon passes on may be older than the last write by
+/// less than this. Without it, all daemons of a fleet that restarts would write
+/// their objects twice.
+inline constexpr std::chrono::milliseconds OwnRecordListLag{5'000};
 
 } // namespace limits
 
@@ -32,10 +36,11 @@
   /// Call with each list of all daemons' objects.
   /// \param listed the incarnation in this daemon's object; empty if there is
   /// none, or it was removed while this daemon was partitioned.
+  /// \param isOwn whether the rest of the object is as this daemon writes it.
   /// \return whether the incarnation changed. The wall clock may have gone back
   /// since the last start on this VM, and other daemons ignore what an older
   /// incarnation reports.
-  bool handleListed(std::optional<std::uint64_t> listed);
+  bool handleListed(std::optional<std::uint64_t> listed, bool isOwn = true);
   /// \return whether to write the object now.
   /// \param listCurrent whether the store answers.
   bool isDue(bool listCurrent, TimePoint now) const;
@@ -46,6 +51,8 @@
   std::uint64_t Incarnation;
   bool Written = false;
   bool Writing = false;
+  bool Overwritten = false; ///< The listed object is not the one written.
+  TimePoint WrittenAt{};
   std::optional<TimePoint> NotBefore;
 };
 
--- a/tests/proxy/own_record_test.cpp
+++ b/tests/proxy/own_record_test.cpp
@@ -4,6 +4,7 @@
 
 using namespace peridotfall;
 using namespace peridotfall::proxy;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -53,6 +54,35 @@
   CHECK(Record.isDue(true, Time.now()));
 }
 
+// Guards against a daemon that is lost to the others, which use the address or
+// the incarnation that another program wrote into its object.
+TEST_CASE_FIXTURE(OwnRecordFixture,
+                  "own record overwritten, is written again with the same "
+                  "incarnation") {
+  struct {
+    std::uint64_t Listed;
+    bool IsOwn;
+  } cases[] = {{70, false}, {90, true}, {60, true}};
+  for (const auto &it : cases) {
+    CAPTURE(it.Listed);
+    write(true);
+    CHECK_FALSE(Record.handleListed(it.Listed, it.IsOwn));
+    // The list may be older than the write.
+    CHECK_FALSE(Record.isDue(true, Time.now() + milliseconds(4'980)));
+    Time.advance(limits::OwnRecordListLag);
+    REQUIRE(Record.isDue(true, Time.now()));
+    write(false);
+    CHECK_FALSE(Record.handleListed(it.Listed, it.IsOwn));
+    Time.advance(limits::OwnRecordRetryPause);
+    REQUIRE(Record.isDue(true, Time.now()));
+    write(true);
+    CHECK_FALSE(Record.handleListed(70, true));
+    Time.advance(limits::OwnRecordListLag);
+    CHECK_FALSE(Record.isDue(true, Time.now()));
+    CHECK(Record.incarnation() == 70);
+  }
+}
+
 TEST_CASE_FIXTURE(OwnRecordFixture, "write failed, is repeated after a pause") {
   write(false);
   CHECK_FALSE(Record.isDue(true, Time.now()));
