Platform run: another program writes odd objects

Six odd entries of targets (200,000 levels, 1e999, 2^64, a port out of range, a name with a blank, '&', '%' and a line end, a version that is a number), and the leader's record, a daemon's and a watcher's overwritten. The run must do what it did, and the three records must be replaced. The stand-in of the store decodes names in paths, answers the read of one object, which it answered with a list, and can send text that is no JSON.

--- a/tests/platform/run.py
+++ b/tests/platform/run.py
@@ -17,7 +17,7 @@
 import termios
 
 import daemons
-from store import Store, serve_http
+from store import Store, raw, serve_http
 from targets import Group, Target
 
 STORE, PROVIDER, TARGETS, DAEMONS = 7600, 7601, 7610, 7620
@@ -379,12 +379,33 @@
         return await asyncio.wait_for(process.wait(), 10)
 
 
+# Records of the daemons; desk reads its watcher's when it starts again.
+OVERWRITTEN = ("duty", "daemon-entry-press", "watcher-desk")
+
+
+def write_odd_objects(world):
+    """Writes what another program may have written into the store."""
+    sound = world.store.objects["servers"]["i-desk"]["spec"]
+    for name, change in {
+        "a b&watch=1%41\r\nc": {},
+        "i-nested": {"version": raw("[" * 200_000 + "]" * 200_000)},
+        "i-number": {"slots": raw("1e999")},
+        "i-port": {"address": "127.0.0.1:65536", "db_role": "primary"},
+        "i-slots": {"slots": 2**64, "db_role": "primary"},
+        "z \u00e4": {"version": 7, "db_role": "primary"},
+    }.items():
+        world.store.put("servers", name, dict(sound, **change))
+    for name in OVERWRITTEN:
+        world.store.put("peridotfall", name, raw("1e999"))
+
+
 async def trouble(world, seconds):
     """Injects each fault once, one after the other."""
     step = seconds / 6
     world.reload_unusable("depot")
     await asyncio.sleep(step / 2)
     world.remove_key()
+    write_odd_objects(world)
     await asyncio.sleep(step / 2)
     world.group.targets["i-press"].crash()
     world.store.delete("servers", "i-press")
@@ -464,6 +485,9 @@
             wrong.append(f"{accepted} sessions with an unknown key were accepted")
         if any(it in text for it in secret for text in world.logs()):
             wrong.append("a log shows a key")
+        for name in OVERWRITTEN:
+            if isinstance(world.store.objects["peridotfall"][name]["spec"], str):
+                wrong.append(f"{name} was overwritten and not replaced")
         if wrong:
             for text in world.logs():
                 print(text)
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -6,10 +6,18 @@
 
 import asyncio
 import json
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 PREFIX = "/peridotfall/objects/"
 PAGE = 2  # Small, so that lists have several pages.
+RAW = {}  # Text that is sent in place of a string.
+
+
+def raw(text):
+    """Returns a value that is sent as this text, which may be no JSON."""
+    name = f"raw text {len(RAW)}"
+    RAW[json.dumps(name)] = text
+    return name
 
 
 class Store:
@@ -82,9 +90,13 @@
         url = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         kind, _, name = url.path[len(PREFIX) :].partition("/")
+        name = unquote(name)
         if method == "GET" and "watch" in query:
             wait_s = int(query.get("wait_ms", "0")) / 1000
             return 200, await self.watch(kind, int(query["watch"]), wait_s)
+        if method == "GET" and name:
+            known = self.objects.get(kind, {}).get(name)
+            return (200, known) if known else (404, {})
         if method == "GET":
             return 200, self.page(kind, query.get("after", ""))
         meta = body.get("meta", {}) if body else {}
@@ -121,7 +133,10 @@
                 raw = await reader.readexactly(size) if size else b""
                 body = json.loads(raw) if raw else None
                 status, out = await answer(method, target, headers, body)
-                text = json.dumps(out).encode()
+                text = json.dumps(out)
+                for name, odd in RAW.items():
+                    text = text.replace(name, odd)
+                text = text.encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                     f"Content-Length: {len(text)}\r\n\r\n".encode()
