--- a/tests/adapter/entries_test.cpp
+++ b/tests/adapter/entries_test.cpp
@@ -207,8 +207,7 @@
   CHECK(parseDaemon({"vm", earlier, 3, false}).value().LinkMbps == 0);
 }
 
-// Guards against numbers that wrap around to ones granted before, and against
-// daemons to which nobody can connect.
+// Guards against numbers that wrap around to ones granted before.
 TEST_CASE("record of ours, numbers or address out of range, is not valid") {
   const nlohmann::json member{{"domain", "press"},
                               {"region", "tartu"},
--- a/tests/adapter/store_test.cpp
+++ b/tests/adapter/store_test.cpp
@@ -173,8 +173,7 @@
   }
 }
 
-// Guards against lists that the store refuses, or that begin again with each
-// page, since the last name of a page changes the request.
+// Guards against lists that the store refuses, or that never end.
 TEST_CASE_FIXTURE(StoreFixture,
                   "name with other characters, is escaped in requests") {
   struct {
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -342,8 +342,7 @@
   CHECK(Calls.WrittenOver == 9);
 }
 
-// Guards against failed primaries that nobody replaces, since another program
-// has overwritten the record, and against numbers that were granted before.
+// Guards against failed primaries that nobody replaces.
 TEST_CASE_FIXTURE(FailoverControllerFixture,
                   "record of the leader overwritten, it claims leadership "
                   "again at once with higher numbers") {
--- a/tests/proxy/first_watcher_test.cpp
+++ b/tests/proxy/first_watcher_test.cpp
@@ -140,8 +140,7 @@
   CHECK(silent.isOver(TimePoint{} + proxy::limits::RecordTimeout));
 }
 
-// Guards against a domain whose daemons all list the store at each start, since
-// another program has overwritten the record.
+// Guards against a domain whose daemons all list the store at each start.
 TEST_CASE_FIXTURE(WatcherRecordFixture,
                   "first watcher, record unreadable, one replaces it and the "
                   "others call that one") {
--- a/tests/proxy/holder_paths_test.cpp
+++ b/tests/proxy/holder_paths_test.cpp
@@ -1,5 +1,6 @@
 #include "proxy/holder_paths.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace peridotfall;
@@ -20,6 +21,23 @@
 
 } // namespace
 
+// Guards against an allocation by another writer's number.
+TEST_CASE("plan of holders, slots and connections of any size, is in bounds") {
+  constexpr std::size_t Most = 4'294'967'295;
+  for (std::size_t slots : {std::size_t{0}, std::size_t{1}, Most})
+    for (std::size_t connections : {std::size_t{0}, std::size_t{16}, Most})
+      for (std::size_t daemons : {std::size_t{0}, std::size_t{9}}) {
+        CAPTURE(slots);
+        CAPTURE(connections);
+        CAPTURE(daemons);
+        auto it = planHolders(connections, slots, daemons, 0.9);
+        CHECK(it.Holders >= 1);
+        CHECK(it.Holders <= std::max<std::size_t>(daemons, 1));
+        CHECK(it.Connections >= 1);
+        CHECK(it.Running >= proxy::limits::MinRunningPerHolder);
+      }
+}
+
 TEST_CASE("holders, few connections for many daemons, have some each") {
   CHECK(planHolders(16, 2, 9).Holders == 3);
   CHECK(planHolders(38, 3, 6).Holders == 6);
--- a/tests/proxy/object_cache_test.cpp
+++ b/tests/proxy/object_cache_test.cpp
@@ -95,8 +95,7 @@
   CHECK(Source.WatchedFrom == 10);
 }
 
-// Guards against targets that are lost, or lists without end, because of a page
-// that holds an unreadable object only.
+// Guards against targets that are lost, and against lists without end.
 TEST_CASE_FIXTURE(MirrorFixture,
                   "page without a new name, is the last one and the objects "
                   "after it are kept") {
--- a/tests/proxy/own_record_test.cpp
+++ b/tests/proxy/own_record_test.cpp
@@ -54,8 +54,7 @@
   CHECK(Record.isDue(true, Time.now()));
 }
 
-// Guards against a daemon that is lost to the others, which use the address or
-// the incarnation that another program wrote into its object.
+// Guards against a daemon that is lost to the others.
 TEST_CASE_FIXTURE(OwnRecordFixture,
                   "own record overwritten, is written again with the same "
                   "incarnation") {
--- a/tests/telemetry/events_test.cpp
+++ b/tests/telemetry/events_test.cpp
@@ -48,8 +48,7 @@
   CHECK_FALSE(findEvent(""));
 }
 
-// Guards against memory taken by lines, and against a line or terminal command
-// of another writer.
+// Guards against memory taken by lines, and against forged lines.
 TEST_CASE("Events: long value and control characters, are not written") {
   std::string line;
   setLineSink([&](const std::string &it) { line = it; });
