--- a/tests/adapter/entries_test.cpp
+++ b/tests/adapter/entries_test.cpp
@@ -1,6 +1,7 @@
 #include "entries.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace peridotfall;
 using namespace peridotfall::adapter;
@@ -52,18 +53,63 @@
 }
 
 // Guards against a number that is converted to a meaningless one.
-TEST_CASE("target entry, number of slots out of range, has the default") {
-  for (const char *slots : {"1e300", "4294967296", "-1", "\"many\""}) {
+TEST_CASE("target entry, number of slots out of range, is rejected") {
+  for (const char *slots :
+       {"1e300", "4294967296", "18446744073709551616", "-1", "\"many\""}) {
     CAPTURE(slots);
-    auto it = parseTarget(
+    CHECK_FALSE(parseTarget(
         makeObject(entryWith("\"slots\":2",
                              ("\"slots\":" + std::string(slots)).c_str())),
+        Regions));
+  }
+  for (std::uint32_t slots : {0U, 4294967295U}) {
+    auto it = parseTarget(
+        makeObject(entryWith("\"slots\":2",
+                             ("\"slots\":" + std::to_string(slots)).c_str())),
         Regions);
     REQUIRE(it);
-    CHECK(it.value().Slots == 1);
+    CHECK(it.value().Slots == slots);
+  }
+}
+
+// Guards against a primary taken from another program's entry.
+TEST_CASE("target entry, any field missing, is rejected") {
+  for (const char *name : {"service", "address", "zone", "version", "slots",
+                           "state", "cold_ms", "db_role", "sequence", "born"}) {
+    CAPTURE(name);
+    CHECK_FALSE(parseTarget(makeObject(entryWith(name, "other")), Regions));
   }
 }
 
+// Guards against statements of another writer in a line that opens a session.
+TEST_CASE("target entry, name or service is no word, is rejected") {
+  for (const std::string &name :
+       {std::string(), std::string("a b"), std::string("a\r\nQUERY - PAUSE 9"),
+        std::string("a\nb"), std::string("a\0b", 3), std::string("a\tb"),
+        std::string(1 << 20, 'a')}) {
+    CAPTURE(name.substr(0, 20));
+    auto object = makeObject(Entry);
+    object.Name = name;
+    CHECK_FALSE(parseTarget(object, Regions));
+    auto spec = nlohmann::json::parse(Entry);
+    spec["service"] = name;
+    CHECK_FALSE(parseTarget(makeObject(spec.dump()), Regions));
+  }
+}
+
+TEST_CASE("target entry, address to which nothing connects, is rejected") {
+  for (const char *address :
+       {"", "1.2.3.4", "1.2.3.4:", "1.2.3.4:0", "1.2.3.4:65536", "1.2.3.4:-1",
+        "1.2.3.4:99999999999", " 1.2.3.4:80", "1.2.3.4:80 ", "1.2.3.4:80\\r\\n",
+        "host:80", "[::1]", "[::1]:0", "1.2.3.4.5:80"}) {
+    CAPTURE(address);
+    CHECK_FALSE(parseTarget(makeObject(entryWith("10.128.0.9:8080", address)),
+                            Regions));
+  }
+  CHECK(parseTarget(makeObject(entryWith("10.128.0.9:8080", "[::1]:65535")),
+                    Regions));
+}
+
 TEST_CASE("target entry, malformed, is rejected") {
   for (const auto &it :
        {std::string("not json"), std::string("[]"), std::string("null"),
@@ -183,3 +229,65 @@
         std::string(name) + R"(","api_keys":["k"]}]})"));
   }
 }
+
+// Guards against numbers that wrap around to ones granted before.
+TEST_CASE("record of ours, numbers or address out of range, is not valid") {
+  const nlohmann::json member{{"domain", "press"},
+                              {"region", "tartu"},
+                              {"address", "10.1.0.8:7440"},
+                              {"incarnation", 7},
+                              {"vm", "vm"}};
+  const nlohmann::json leader{
+      {"holder", "vm"}, {"incarnation", 7}, {"first", 65}, {"last", 129}};
+  REQUIRE(parseDaemon(makeObject(member.dump())));
+  REQUIRE(parseWatcherRecord(makeObject(member.dump())).Named);
+  REQUIRE(parseLeadershipRecord(leader.dump()));
+  const nlohmann::json tooLarge = std::uint64_t{1} << 53;
+  const std::string tooLong(1 << 20, 'a');
+  struct {
+    const char *Field;
+    nlohmann::json Value;
+  } cases[] = {{"incarnation", tooLarge},
+               {"incarnation", -1},
+               {"incarnation", 0.5},
+               {"incarnation", 1e300},
+               {"incarnation", UINT64_MAX},
+               {"address", "nowhere"},
+               {"address", "10.1.0.8:0"},
+               {"address", "10.1.0.8:65536"},
+               {"address", "10.1.0.8:1\r\n"},
+               {"address", ""},
+               {"first", 0},
+               {"first", 130},
+               {"first", UINT64_MAX},
+               {"last", tooLarge},
+               {"domain", tooLong},
+               {"region", tooLong},
+               {"holder", tooLong},
+               {"last", UINT64_MAX},
+               {"last", "129"}};
+  for (const auto &it : cases) {
+    CAPTURE(it.Field);
+    CAPTURE(it.Value.dump().substr(0, 40));
+    bool isOfLeader = leader.contains(it.Field);
+    if (member.contains(it.Field)) {
+      auto odd = member;
+      odd[it.Field] = it.Value;
+      CHECK_FALSE(parseDaemon(makeObject(odd.dump())));
+      auto record = parseWatcherRecord(makeObject(odd.dump()));
+      CHECK_FALSE(record.Named);
+      CHECK(record.Revision == 12);
+    }
+    if (isOfLeader) {
+      auto odd = leader;
+      odd[it.Field] = it.Value;
+      CHECK_FALSE(parseLeadershipRecord(odd.dump()));
+    }
+  }
+  auto unnamed = makeObject(member.dump());
+  unnamed.Name = tooLong;
+  CHECK_FALSE(parseDaemon(unnamed));
+  auto wide = member;
+  wide["link_mbps"] = (std::uint64_t{1} << 32) + 5;
+  CHECK(parseDaemon(makeObject(wide.dump())).value().LinkMbps == 0);
+}
--- a/tests/adapter/store_test.cpp
+++ b/tests/adapter/store_test.cpp
@@ -39,7 +39,8 @@
 
 const std::string Ready =
     R"({"service":"g","address":"127.0.0.1:1","zone":"z","state":"ready",)"
-    R"("db_role":"replica","born":1})";
+    R"("db_role":"replica","version":"v1","slots":2,"cold_ms":0,)"
+    R"("sequence":1,"born":1})";
 
 /// A store that gives the same response to all requests.
 struct StoreFixture {
@@ -49,7 +50,8 @@
   HttpClient Client{Loop, Acceptor.local_endpoint()};
   Store Objects{Client};
   std::string Body;
-  std::string Head; ///< Of the last request.
+  std::string Head;    ///< Of the last request.
+  std::string Request; ///< First line of the last one.
   std::optional<proxy::ObjectPage> Page;
 
   StoreFixture() {
@@ -66,6 +68,7 @@
           if (ec)
             return;
           Head = in->substr(0, n);
+          Request = in->substr(0, in->find("\r\n"));
           in->erase(0, n);
           asio::write(*socket, asio::buffer(fmt::format(
                                    "HTTP/1.1 200 OK\r\nContent-Length: "
@@ -190,6 +193,48 @@
   REQUIRE(out.Outcome == proxy::ReadOutcome::Done);
   REQUIRE(out.Objects.size() == 1);
   CHECK(out.Objects[0].Name == "c");
+  CHECK(out.Nameless == 3);
+  for (const char *name : {"\"\"", "\"\xff\"", "\"\\ud800\"", "7", "null"}) {
+    CAPTURE(name);
+    auto odd = list(fmt::format(R"({{"at_rev":9,"items":[{{"meta":{{)"
+                                R"("name":{},"revision":5}}}},{}]}})",
+                                name, entry("c", Ready)));
+    CHECK(odd.Objects.size() == 1);
+    CHECK(odd.Nameless == 1);
+  }
+}
+
+// Guards against lists that the store refuses, or that never end.
+TEST_CASE_FIXTURE(StoreFixture,
+                  "name with other characters, is escaped in requests") {
+  struct {
+    const char *Name;
+    const char *Escaped;
+  } cases[] = {{"i-7f3a.b_c~D", "i-7f3a.b_c~D"},
+               {"a b", "a%20b"},
+               {"a&watch=1", "a%26watch%3D1"},
+               {"100%41", "100%2541"},
+               {"a?b#c+d/e", "a%3Fb%23c%2Bd%2Fe"},
+               {"a\r\nHost: b", "a%0D%0AHost%3A%20b"},
+               {"\xc3\xa4", "%C3%A4"}};
+  Body = "{}";
+  for (const auto &it : cases) {
+    CAPTURE(it.Name);
+    const std::string path = "/peridotfall/objects/servers";
+    Objects.list(TargetKind, it.Name, Limit, received());
+    page();
+    CHECK(Request == "GET " + path + "?after=" + it.Escaped + " HTTP/1.1");
+    Objects.read(TargetKind, it.Name, Limit, received());
+    page();
+    CHECK(Request == "GET " + path + "/" + it.Escaped + " HTTP/1.1");
+    bool isDone = false;
+    Objects.remove(TargetKind, it.Name, 5,
+                   [&](proxy::CallOutcome) { isDone = true; });
+    while (!isDone)
+      Loop.run_one();
+    CHECK(Request ==
+          "DELETE " + path + "/" + it.Escaped + "?revision=5 HTTP/1.1");
+  }
 }
 
 // A response that is cut off must not pass for a list without the rest.
--- a/tests/telemetry/events_test.cpp
+++ b/tests/telemetry/events_test.cpp
@@ -1,5 +1,6 @@
 #include "telemetry/events.h"
 #include "telemetry/events_page.h"
+#include "telemetry/log_writer.h"
 
 #include <doctest/doctest.h>
 #include <fstream>
@@ -46,3 +47,26 @@
   CHECK_FALSE(findEvent("PF1001x"));
   CHECK_FALSE(findEvent(""));
 }
+
+// Guards against memory taken by lines, and against forged lines.
+TEST_CASE("Events: long value and control characters, are not written") {
+  std::string line;
+  setLineSink([&](const std::string &it) { line = it; });
+  log(Event::EntryUnreadable, {field("name", std::string(1 << 20, 'a'))});
+  CHECK(line.size() < 2'000);
+  CHECK(line.ends_with("aaa..."));
+  struct {
+    char Byte;
+    std::string Escaped;
+  } cases[] = {{'\0', "\\x00"}, {'\t', "\\t"},     {'\n', "\\n"},
+               {'\r', "\\r"},   {'\x1b', "\\x1b"}, {'\x7f', "\\x7f"}};
+  for (const auto &it : cases) {
+    CAPTURE(it.Escaped);
+    log(Event::EntryUnreadable,
+        {field("name", std::string("a") + it.Byte + "b")});
+    CHECK(line.ends_with(" name=\"a" + it.Escaped + "b\""));
+  }
+  log(Event::EntryUnreadable, {field("name", "i-7f3a"), field("why", "a \"b")});
+  CHECK(line.ends_with(R"( name=i-7f3a why="a \"b")"));
+  setLineSink(nullptr);
+}
