Sessions: a commit that is not sent ends its transaction

What callers saw: a COMMIT answered MALFORMED with the state E, where its session's value was refused by the target and no other statement of the transaction had been sent, or the value was set just before it. The operation ended outside I, so that the caller had to close its session.

Cause: rejecting a set-up took every statement of a transaction alike. A COMMIT that was not sent is now answered ABORTED, which holds, and the transaction is over.

--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -419,14 +419,16 @@
 
 void Sessions::rejectSetup(Session &session, const StatementError &why) {
   auto &run = *session.Current;
+  bool commit = run.Request.Kind == StatementKind::Commit;
   countStatement(Metrics, run.AssignedRoute.Reads,
                  StatementOutcome::TargetError, Time.now() - run.StartedAt);
   Answer answer;
   answer.Error = why;
   logServed(session, answer);
   if (session.State == TransactionState::Open)
-    session.State = TransactionState::Failed;
-  answerError(session, why.Kind, why.Detail);
+    session.State = commit ? TransactionState::Idle : TransactionState::Failed;
+  // A commit that was not sent ends its transaction all the same.
+  answerError(session, commit ? ErrorKind::Aborted : why.Kind, why.Detail);
 }
 
 void Sessions::resume(const GroupName &group) {
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -577,7 +577,7 @@
   auto &run = *session.Current;
   session.Open.Lease = {};
   bool commit = run.Request.Kind == StatementKind::Commit;
-  if (!commit && isSetupMalformed(result)) {
+  if (isSetupMalformed(result)) {
     rejectSetup(session, result.Error);
     return;
   }
--- a/tests/adapter/session_state_test.cpp
+++ b/tests/adapter/session_state_test.cpp
@@ -225,3 +225,25 @@
   CHECK(last(caller.Id).Error->Kind == ErrorKind::Aborted);
   CHECK(ran() == Expected);
 }
+
+// Guards against a transaction that is still open for its caller after COMMIT.
+TEST_CASE_FIXTURE(StateFixture,
+                  "commit, its value is refused, rolls back and ends") {
+  for (bool isFirst : {true, false}) {
+    CAPTURE(isFirst);
+    auto caller = open("orders");
+    line(caller.Id, "QUERY x BEGIN");
+    if (!isFirst)
+      write(caller, "a1 x");
+    serveLines();
+    set(caller, "zone", "a b");
+    RefusedSetups["QUERY - SET zone a b\r\n"] = ErrorKind::Malformed;
+    line(caller.Id, "QUERY end COMMIT");
+    serveLines();
+    CHECK(last(caller.Id).Error->Kind == ErrorKind::Aborted);
+    CHECK(last(caller.Id).State == TransactionState::Idle);
+  }
+  CHECK(ran() == Expected);
+  for (const auto &[id, it] : Targets)
+    CHECK_FALSE(it.InTransaction);
+}
