Pool: set-ups that are lost, late or answered outside the transaction

Cause: a set-up that was lost counted as a refusal for load, which is repeated without a limit of tries and tells placement nothing, and only the error of a set-up's answer was read, not its time and state. A lost set-up now counts as a failed try of its target. The statement is sent only if there is time left and the connection's transaction is as it was; else it has not run.

--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -20,6 +20,10 @@
 AnswerCode codeOf(const BatchResult &result) {
   if (isSetupMalformed(result))
     return AnswerCode::SqlError;
+  // The connection was lost during its set-up.
+  if (result.End == BatchEnd::NotRun &&
+      result.Error.Kind == ErrorKind::TimedOut)
+    return AnswerCode::ConnectionLost;
   if (result.End == BatchEnd::NotRun)
     return AnswerCode::Busy;
   if (result.End == BatchEnd::Lost)
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -1,5 +1,6 @@
 #include "proxy/target_pool.h"
 
+#include "proxy/attempt_time.h"
 #include "telemetry/events.h"
 
 #include <algorithm>
@@ -389,7 +390,11 @@
 void TargetPool::handleSetupAnswer(ConnectionIt it, const Statement &statement,
                                    const Answer &answer) {
   auto &running = *it->second.Current;
-  running.State = answer.State;
+  auto before = std::exchange(it->second.Transaction, answer.State);
+  if (answer.ok() && answer.State != before) {
+    dropConnection(it, "transaction ended by the target");
+    return;
+  }
   if (!answer.ok()) {
     logSetupRejected(running, statement, *answer.Error);
     if (!isOfSession(statement.Kind)) {
@@ -402,7 +407,10 @@
   }
   if (running.AnswersReceived < running.Setup.size() || running.IsWorkSent)
     return;
-  if (running.SetupError || it->second.Abandoned)
+  bool isWrite = std::any_of(running.Work.Statements.begin(),
+                             running.Work.Statements.end(), writes);
+  bool isLate = Time.now() + minAttemptTime(isWrite) > running.AnswerDeadline;
+  if (running.SetupError || it->second.Abandoned || isLate)
     finish(it);
   else
     sendWork(it);
@@ -410,7 +418,7 @@
 
 void TargetPool::handleWorkAnswer(ConnectionIt it, Answer answer) {
   auto &running = *it->second.Current;
-  running.State = answer.State;
+  it->second.Transaction = answer.State;
   // The target has lost prepared statements; prepare them again.
   if (answer.Error && answer.Error->Kind == ErrorKind::NoStatement)
     forgetPrepared(it->second.Environment);
@@ -431,10 +439,10 @@
     recordWork(connection, running);
   else {
     running.Result.Error = running.SetupError.value_or(
-        StatementError{ErrorKind::Busy, "no longer needed"});
+        StatementError{ErrorKind::Busy, "no time left after the set-up"});
     running.Result.Answers.clear();
   }
-  bool idle = running.State == TransactionState::Idle;
+  bool idle = connection.Transaction == TransactionState::Idle;
   running.Result.LeaseKept = hasRun && !running.Work.EndsLease;
   bool ends = !running.Result.LeaseKept || connection.Abandoned;
   connection.State = Phase::Held;
@@ -498,7 +506,7 @@
   auto &running = *connection.Current;
   running.Result.End = running.IsWorkSent ? BatchEnd::Lost : BatchEnd::NotRun;
   running.Result.Error = {
-      running.IsWorkSent ? ErrorKind::InDoubt : ErrorKind::Busy, why};
+      running.IsWorkSent ? ErrorKind::InDoubt : ErrorKind::TimedOut, why};
   running.Result.TargetUnreachable = Unreachable;
   running.Done(std::move(running.Result));
 }
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -127,7 +127,6 @@
     std::size_t AnswersReceived = 0; ///< Those of the set-up included.
     bool IsWorkSent = false;
     std::optional<StatementError> SetupError;
-    TransactionState State = TransactionState::Idle; ///< By the last answer.
     BatchResult Result;
     OnBatch Done;
     bool BeginsLease = false;
@@ -140,6 +139,8 @@
     AccountName Account;
     unsigned Priority = 0; ///< Of the lease.
     ConnectionEnvironment Environment;
+    /// At the target, by its last answer.
+    TransactionState Transaction = TransactionState::Idle;
     LeaseId Lease;
     std::optional<Running> Current;
     bool Abandoned = false;
