Sessions: the bytes of values and prepared statements are limited

What callers would see: a session could hold 256 values of a megabyte each. All of them go with each statement to the holder of the connection, which answers a message over 4 MiB with 413; the daemon took the holder for silent, marked its path as failed for all callers of the VM, and a write ended as "outcome unknown". Found by the review (a test of the path, and by reading).

Values, and prepared statements, of a session now have a limit of 1 MiB each, the length of the longest line; SET or PREPARE beyond it gets MALFORMED. Names were limited in number only. The new case fails without the check: nothing is refused.

--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -274,8 +274,12 @@
 }
 
 void Sessions::set(Session &session, const Statement &it) {
-  if (session.Set.size() >= limits::MaxSessionNames &&
-      !session.Set.contains(it.Name)) {
+  std::size_t bytes = it.Name.size() + it.Argument.size();
+  for (const auto &[name, value] : session.Set)
+    bytes += name == it.Name ? 0 : name.size() + value.size();
+  bool isNew = !session.Set.contains(it.Name);
+  if ((isNew && session.Set.size() >= limits::MaxSessionNames) ||
+      bytes > limits::MaxSessionBytes) {
     answerError(session, ErrorKind::Malformed, "too many values");
     return;
   }
@@ -284,8 +288,12 @@
 }
 
 void Sessions::prepare(Session &session, const Statement &it) {
-  if (session.PreparedStatements.size() >= limits::MaxSessionNames &&
-      !session.PreparedStatements.contains(it.Name)) {
+  std::size_t bytes = it.Name.size() + it.Body.Shape.size();
+  for (const auto &[name, body] : session.PreparedStatements)
+    bytes += name == it.Name ? 0 : name.size() + body.Shape.size();
+  bool isNew = !session.PreparedStatements.contains(it.Name);
+  if ((isNew && session.PreparedStatements.size() >= limits::MaxSessionNames) ||
+      bytes > limits::MaxSessionBytes) {
     answerError(session, ErrorKind::Malformed, "too many prepared statements");
     return;
   }
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -55,6 +55,9 @@
 /// Maximum number of values, and of prepared statements, of one session. Bounds
 /// memory on a small VM.
 inline constexpr std::size_t MaxSessionNames = 256;
+/// Bytes of a session's values, and of its prepared statements. They are sent
+/// to other daemons with each statement, in messages of limited size.
+inline constexpr std::size_t MaxSessionBytes = 1 << 20;
 
 } // namespace limits
 
--- a/tests/proxy/setup_test.cpp
+++ b/tests/proxy/setup_test.cpp
@@ -187,3 +187,24 @@
   }
   CHECK(ejected);
 }
+
+// Guards against batches that are too long for messages between daemons.
+TEST_CASE_FIXTURE(SetupFixture, "session with many bytes of values or "
+                                "statements, more are refused") {
+  auto caller = session("orders");
+  for (auto kind : {StatementKind::Set, StatementKind::Prepare}) {
+    Statement it;
+    it.Kind = kind;
+    it.Id = "x";
+    it.Name = "a";
+    it.Argument = it.Body.Shape =
+        std::string(proxy::limits::MaxSessionBytes / 2, 'x');
+    for (unsigned n = 0; n < 3; ++n) { // The same name, again and again.
+      Callers.statement(caller, it);
+      CHECK(last(caller).ok());
+    }
+    it.Name = "b";
+    Callers.statement(caller, it);
+    CHECK(last(caller).Error->Kind == ErrorKind::Malformed);
+  }
+}
