Failover: a group that no configuration names is left alone

Seen by callers: nothing. Cause: an entry of a service that is named nowhere made a group without a primary. Its failover leader suspected it after six seconds, and then opened connections to the entry's address as long as it was listed; 64 such groups would take all changes that may run at once.

Now a group counts once a configuration has named it; before the first configuration all do. One that is removed from the configuration still counts, as sessions may use it.

--- a/src/proxy/failover_controller.cpp
+++ b/src/proxy/failover_controller.cpp
@@ -242,7 +242,8 @@
     bool isOver = it->second.CurrentStep == Step::Watching &&
                   it->second.FailedTargets.empty() &&
                   now >= it->second.NotBefore;
-    it = isOver || !group ? Changes.erase(it) : std::next(it);
+    bool isDropped = !group || !Targets.isLookedAfter(*group);
+    it = isOver || isDropped ? Changes.erase(it) : std::next(it);
   }
   requestTargets();
 }
@@ -279,7 +280,7 @@
                                    TimePoint now) {
   bool isIdle = !group.LeaderMissingSince && !group.LeavingSince &&
                 !Changes.contains(name);
-  if (group.Targets.empty() || isIdle)
+  if (group.Targets.empty() || isIdle || !Targets.isLookedAfter(group))
     return;
   auto &change = Changes[name];
   if (now < change.NotBefore)
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -249,10 +249,13 @@
 void Groups::applySettings(const std::map<GroupName, GroupSettings> &settings,
                            bool byAccount) {
   bool changed = std::exchange(ByAccount, byAccount) != byAccount;
+  HasSettings = true;
   for (const auto &[name, it] : settings) {
     auto &group = groupOf(name);
     changed = changed || group.Settings != it;
     group.Settings = it;
+    if (!std::exchange(group.IsConfigured, true))
+      notePrimaryState(group, Time.now());
   }
   PlanVersion += changed;
 }
@@ -590,6 +593,7 @@
 
 bool Groups::needsAttention(const Group &group, TimePoint now) const {
   bool isWatched = WatchesAll && !group.Targets.empty() &&
+                   isLookedAfter(group) &&
                    (group.LeaderMissingSince || group.LeavingSince);
   return isWatched || isUsed(group, now);
 }
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -111,6 +111,7 @@
 
   GroupName Name;
   GroupSettings Settings;
+  bool IsConfigured = false; ///< A configuration has named it.
   GroupView View;
   Placement ReadPlacement;
   std::vector<TargetEntry> Targets;
@@ -154,6 +155,12 @@
   /// \param watches whether this daemon looks after the groups that it does not
   /// use: the failover leader does.
   void setWatchesAll(bool watches);
+  /// \return whether the group's primary is looked after. Another program's
+  /// entry may be of a group that no configuration names; as long as there is
+  /// no configuration, all are looked after.
+  bool isLookedAfter(const Group &group) const {
+    return group.IsConfigured || !HasSettings;
+  }
 
   LeaseId begin(const LeaseRequest &request, Batch first,
                 OnBatch done) override;
@@ -280,6 +287,7 @@
   /// Changes with the members and with the settings of a group.
   std::uint64_t PlanVersion = 1;
   bool WatchesAll = false;
+  bool HasSettings = false;    ///< A configuration is known.
   std::size_t NextWatched = 0; ///< Index in Active.
   /// Pools of removed targets, until their last lease has ended.
   std::vector<std::unique_ptr<TargetPool>> Retired;
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -342,6 +342,30 @@
   CHECK(Calls.WrittenOver == 9);
 }
 
+// Guards against connections without end for an entry of another program.
+TEST_CASE_FIXTURE(FailoverControllerFixture,
+                  "group that no configuration names, is left alone") {
+  auto ghost = Entries.at(TargetName("r"));
+  ghost.Name = TargetName("x");
+  ghost.Group = GroupName("ghost");
+  Entries[ghost.Name] = ghost;
+  TargetGroups.updateTargets(Entries);
+  auto opened = [this] {
+    std::size_t n = 0;
+    for (const auto &[id, it] : Links.Connections)
+      n += it.Target.Value == "x";
+    return n;
+  };
+  becomeLeader();
+  run(milliseconds(8'000));
+  CHECK(opened() == 0);
+  CHECK(Calls.PeerQueries == 0);
+  TargetGroups.applySettings({{ghost.Group, {}}});
+  run(milliseconds(8'000));
+  CHECK(opened() > 0);
+  CHECK(Calls.PeerQueries > 0);
+}
+
 // Guards against failed primaries that nobody replaces.
 TEST_CASE_FIXTURE(FailoverControllerFixture,
                   "record of the leader overwritten, it claims leadership "
