--- a/tests/platform/account_limit.py
+++ b/tests/platform/account_limit.py
@@ -125,6 +125,8 @@
 
 
 class World:
+    max_connections = 400  # Of each target.
+
     def __init__(self, program, folder, count, load, first_port):
         self.program = program
         self.folder = folder
@@ -146,7 +148,7 @@
         for n, zone in enumerate(ZONES):
             port = self.first_port + TARGETS + n
             target = Target(self.group, f"i-{zone}", port, zone, n == 0)
-            target.max_connections = 400
+            target.max_connections = self.max_connections
             await target.start()
             self.group.add(target)
         self.put_configuration()
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -2,10 +2,15 @@
 
 Replication is synchronous, so that a promotion loses no acknowledged write. A
 crashed target does not answer; it restarts as a replica with its log.
+
+Statements are parsed by their fields as on the users' pages: the last field
+extends to the end of the line. Text is read as Latin-1, so that each byte is
+kept.
 """
 
 import asyncio
 import secrets
+import typing
 
 
 class Target:
@@ -17,8 +22,9 @@
         self.primary = primary
         self.log = []  # (term, number, item, data)
         self.server = None
-        self.writers = set()
+        self.writers = {}  # With the task that serves each.
         self.max_connections = 16
+        self.born = 1
 
     @property
     def position(self):
@@ -39,11 +45,13 @@
         self.server.close()
         self.server = None
         self.primary = False
-        for writer in list(self.writers):
+        self.born += 1
+        for writer, task in list(self.writers.items()):
             writer.transport.abort()
+            task.cancel()
 
     async def _connection(self, reader, writer):
-        self.writers.add(writer)
+        self.writers[writer] = asyncio.current_task()
         try:
             await self._serve(reader, writer)
         except (
@@ -53,11 +61,11 @@
         ):
             pass  # The peer has closed; its open transaction is rolled back.
         finally:
-            self.writers.discard(writer)
+            del self.writers[writer]
             writer.close()
 
     async def _serve(self, reader, writer):
-        start = (await reader.readuntil(b"\r\n")).decode().split()
+        start = (await reader.readuntil(b"\r\n")).decode("latin-1").split()
         wrong = start[1] != self.group.name or start[3] != self.name
         if wrong or len(self.writers) > self.max_connections:
             code = "WRONGNODE" if wrong else "CONNLIMIT"
@@ -65,17 +73,26 @@
             return
         account = start[2]
         session = Session(self)
+        self.group.note_start(session)
         writer.write(f"READY I {session.position()}\r\n".encode())
         while True:
-            line = (await reader.readuntil(b"\r\n")).decode()[:-2]
+            line = (await reader.readuntil(b"\r\n")).decode("latin-1")[:-2]
             if line == "TERM":
                 return
             _, request, text = line.split(" ", 2)
             self.group.check_account(request, account)
             if text.split(" ")[0] in ("READ", "WRITE", "EXECUTE", "COMMIT"):
                 await asyncio.sleep(self.group.run_time())
-            writer.write(session.run(request, text).encode())
-            await writer.drain()
+            answer = session.run(request, text).encode("latin-1")
+            await self.group.deliver(reader, writer, answer)
+
+
+class Transaction:
+    def __init__(self, plain, term):
+        self.plain = plain
+        self.term = term
+        self.writes = []
+        self.failed = False
 
 
 class Session:
@@ -83,99 +100,141 @@
 
     def __init__(self, target):
         self.target = target
-        self.state = "I"
-        self.plain = False
-        self.writes = []
-        self.prepared = {}
+        self.transaction = None
+        self.values = {}
+        self.prepared = {}  # Name -> (mode, shape).
+
+    @property
+    def state(self):
+        if not self.transaction:
+            return "I"
+        return "E" if self.transaction.failed else "T"
 
     def position(self):
         return "%d.%d" % self.target.position
 
     def run(self, request, text):
+        transaction = self.transaction
+        rows, signature, code = [], "-", None
         try:
             rows, signed = self._run(text)
+            if signed:
+                signature = f"{request}.{secrets.token_hex(4)}"
         except Refused as it:
-            if self.state == "T":
-                self.state = "E"
-                self.writes = []
-            return f"ERROR {it} x\r\nREADY {self.state} {self.position()}\r\n"
-        signature = f"{request}.{secrets.token_hex(4)}" if signed else "-"
-        out = "".join(f"ROW {row}\r\n" for row in rows)
-        return (
-            f"{out}COMPLETE {signature}\r\n"
-            f"READY {self.state} {self.position()}\r\n"
+            code = str(it)
+            if self.transaction:
+                self.transaction.failed = True
+                self.transaction.writes = []
+        self.target.group.note_run(
+            self, transaction, request, text, Answer(rows, signature, code)
         )
+        out = "".join(f"ROW {row}\r\n" for row in rows)
+        out += f"ERROR {code} x\r\n" if code else f"COMPLETE {signature}\r\n"
+        return out + f"READY {self.state} {self.position()}\r\n"
 
     def _run(self, text):
-        words = text.split(" ")
-        if words[0] == "AFTER":
-            term, number = (int(n) for n in words[1].split("."))
+        word, _, rest = text.partition(" ")
+        if word == "AFTER":
+            at, _, text = rest.partition(" ")
+            word, _, rest = text.partition(" ")
+            if word not in ("READ", "EXECUTE", "BEGIN"):
+                raise Refused("MALFORMED")
+            term, number = (int(n) for n in at.split("."))
             if self.target.position < (term, number):
                 raise Refused("LAGGING")
-            words = words[2:]
-        if self.state == "E" and words[0] != "ROLLBACK":
+        run = getattr(self, "_" + word.lower(), None)
+        if word not in STATEMENTS or (
+            self.state == "E" and word not in ("COMMIT", "ROLLBACK")
+        ):
             raise Refused("MALFORMED")
-        return getattr(self, "_" + words[0].lower())(words)
+        refusal = self.target.group.refusal(word)
+        if not refusal:
+            return run(rest)
+        code, runs = refusal
+        if runs:
+            run(rest)
+        raise Refused(code)
 
     def _lead(self):
-        if not self.target.primary:
+        """Also refuses a plain transaction of an earlier time as the primary."""
+        term = self.target.group.term
+        earlier = self.transaction and self.transaction.term != term
+        if not self.target.primary or earlier:
             raise Refused("READONLY")
 
-    def _begin(self, words):
-        if self.state != "I":
+    def _begin(self, rest):
+        if self.state != "I" or rest not in ("", "READ"):
             raise Refused("MALFORMED")
-        self.plain = words[1:] != ["READ"]
-        if self.plain:
+        plain = rest != "READ"
+        if plain:
             self._lead()
-        self.state = "T"
+        self.transaction = Transaction(plain, self.target.group.term)
         return [], False
 
     def _rollback(self, _):
         if self.state == "I":
             raise Refused("MALFORMED")
-        self.state = "I"
-        self.writes = []
+        self.transaction = None
         return [], False
 
     def _commit(self, _):
-        if self.state != "T":
+        if self.state == "I":
             raise Refused("MALFORMED")
-        if self.writes:
+        if self.transaction.failed:
+            self.transaction = None
+            raise Refused("ABORTED")
+        if self.transaction.writes:
             self._lead()
-        self.target.group.commit(self.target, self.writes)
-        self.writes = []
-        self.state = "I"
+        self.target.group.commit(self.target, self.transaction.writes)
+        self.transaction = None
         return [], True
 
-    def _read(self, words):
-        if self.state == "T" and self.plain:
+    def _read(self, item):
+        if not item:
+            raise Refused("MALFORMED")
+        if self.transaction and self.transaction.plain:
             self._lead()
         if self.target.group.fails_read():
             raise Refused("FAILED")
-        return [self.target.value(words[1])], True
+        own = self.transaction.writes if self.transaction else []
+        written = [data for it, data in own if it == item]
+        return [written[-1] if written else self.target.value(item)], True
 
-    def _write(self, words):
+    def _write(self, rest):
+        write = fields(rest, 2)
         self._lead()
-        self.writes.append((words[1], words[2]))
-        if self.state == "I":
-            self.target.group.commit(self.target, self.writes)
-            self.writes = []
+        if self.transaction:
+            self.transaction.writes.append(write)
+        else:
+            self.target.group.commit(self.target, [write])
         return [], True
 
-    def _prepare(self, words):
-        self.prepared[words[1]] = words[2]
+    def _prepare(self, rest):
+        name, mode, shape = fields(rest, 3)
+        if mode not in ("READ", "WRITE"):
+            raise Refused("MALFORMED")
+        self.prepared[name] = (mode, shape)
         return [], False
 
-    def _execute(self, words):
-        kind = self.prepared.get(words[1])
-        if not kind:
+    def _execute(self, rest):
+        name, arguments = fields(rest, 2)
+        if name not in self.prepared:
+            raise Refused("NOSTMT")
+        mode, _ = self.prepared[name]
+        return self._write(arguments) if mode == "WRITE" else self._read(arguments)
+
+    def _close(self, name):
+        if not self.prepared.pop(name, None):
             raise Refused("NOSTMT")
-        return getattr(self, "_" + kind.lower())([kind] + words[2:])
+        return [], False
 
-    def _set(self, _):
+    def _set(self, rest):
+        name, value = fields(rest, 2)
+        self.values[name] = value
         return [], False
 
     def _reset(self, _):
+        self.values = {}
         self.prepared = {}
         return [], False
 
@@ -185,6 +244,26 @@
         return [f"{role} {term} {self.position()} 0 0 0 1"], False
 
 
+STATEMENTS = {
+    *("BEGIN", "COMMIT", "ROLLBACK", "READ", "WRITE", "SET", "PREPARE"),
+    *("EXECUTE", "CLOSE", "RESET", "STATUS"),
+}
+
+
+def fields(rest, count):
+    """That many fields, none of them empty."""
+    out = tuple(rest.split(" ", count - 1))
+    if len(out) < count or not all(out):
+        raise Refused("MALFORMED")
+    return out
+
+
+class Answer(typing.NamedTuple):
+    rows: list
+    signature: str
+    code: str | None  # Of an error.
+
+
 class Refused(Exception):
     pass
 
@@ -216,7 +295,7 @@
             "state": state,
             "cold_ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": target.born,
             "db_role": "primary" if target.primary else "replica",
         }
         self.store.put("servers", target.name, spec)
@@ -226,6 +305,21 @@
         if request != "-" and self.account_of(request) != account:
             self.mixed.append((request, account))
 
+    def note_start(self, session):
+        """Called for each connection that is accepted."""
+
+    def note_run(self, session, transaction, request, text, answer):
+        """Called behind each statement; `transaction` is the one in which it
+        ran."""
+
+    def refusal(self, word):
+        """The code with which to refuse such a statement, and whether to run it
+        all the same; None to run and answer it."""
+
+    async def deliver(self, _, writer, answer):
+        writer.write(answer)
+        await writer.drain()
+
     def newest(self):
         return max(self.targets.values(), key=lambda it: it.position)
 
@@ -241,6 +335,8 @@
         if not target or not target.server:
             return False
         await asyncio.sleep(0.1)
+        if target.primary or not target.server:
+            return True
         self.term += 1
         for it in self.targets.values():
             it.primary = it is target
