Tests: the record of the soak shows the state behind each answer

Without it, a COMMIT that is answered with an error can't be told from one that ended its transaction.

--- a/tests/platform/statement_callers.py
+++ b/tests/platform/statement_callers.py
@@ -115,7 +115,8 @@
             elif word == "READY":
                 self.state = rest[:1]
                 break
-        self.world.record(f"c{self.number} is answered {request} {code or 'ok'}")
+        result = f"{code or 'ok'} {self.state}"
+        self.world.record(f"c{self.number} is answered {request} {result}")
         self.judge.note_answer(request, rows, signature, code)
         if code:
             self.refused[code] += 1
