--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -295,7 +295,8 @@
 void TargetPool::start(ConnectionIt it, LeaseId lease, Batch work, OnBatch done,
                        TimePoint end) {
   auto &connection = it->second;
-  auto &running = connection.Current.emplace();
+  connection.Current = Running();
+  auto &running = *connection.Current;
   // The proxy's own statements need no session, and do no harm in a wrong one.
   bool isCallers = hasCallerStatement(work);
   if (isCallers || !work.EndsLease)
