--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -142,6 +142,15 @@
         zone = self.zones[number % len(self.zones)]
         return Client(self.address_of(zone), self.database(group, kind), self.record)
 
+    def lost_commits(self):
+        """Commits that a client was told of and a promoted server lacked."""
+        return [
+            it
+            for group in self.groups
+            for it in group.lost
+            if it[1] in self.record.succeeded
+        ]
+
     async def stop(self):
         for it in self.daemons.values():
             if it.returncode is None:
--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -20,6 +20,7 @@
 
     def __init__(self, path):
         self.file = open(path, "w", encoding="utf-8")
+        self.succeeded = set()  # Requests whose client was told of a success.
         self.start = time.monotonic()
 
     def now(self):
@@ -659,6 +660,7 @@
         self.record.line(f"answered {request} {error or signature} {rest}")
         if error:
             raise ClientFailure(error)
+        self.record.succeeded.add(request)
         return signature, rows
 
     def close(self):
