--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,7 +16,7 @@
 DARK_S = 1.6
 SERVICES = 3
 SESSIONS = 30  # Of each service.
-LENGTH_S = 72
+LENGTH_S = 54
 SETTLE_S = 6
 GAP_S = 6  # Until the same group's primary goes dark again.
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -16,7 +16,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVICES = 3
 SESSIONS = 2  # Of each service, which is a quiet one.
-LENGTH_S = 80
+LENGTH_S = 60
 SETTLE_S = 5
 DEAF_S = 4  # A replica receives nothing for so long, at most.
 DRAIN_S = 7  # A leaving server serves for so long, and a little longer.
--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import tomllib
+import traceback
 
 from standins import (
     Client,
@@ -160,8 +161,8 @@
 
 
 def main(folder, run):
-    """Runs `run(record)` and exits with what it returns; with 2 if it is ended
-    from outside."""
+    """Runs `run(record)` and exits with what it returns; with 2 if it fails or is
+    ended from outside."""
 
     async def guarded(record):
         task = asyncio.current_task()
@@ -171,6 +172,9 @@
             return await run(record)
         except asyncio.CancelledError:
             return 2
+        except Exception:  # The case could not run.
+            traceback.print_exc()
+            return 2
 
     record = Record(os.path.join(folder, "record.txt"))
     status = asyncio.run(guarded(record))
