--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,9 +16,9 @@
 DARK_S = 1.6
 SERVICES = 3
 SESSIONS = 30  # Of each service.
-LENGTH_S = 54
+LENGTH_S = 70
 SETTLE_S = 6
-GAP_S = 6  # Until the same group's primary goes dark again.
+GAP_S = 2  # From the return of one primary until the next one goes dark.
 
 
 async def session(fleet, group, number, until, counts):
@@ -39,20 +39,20 @@
     client.close()
 
 
-async def darken(fleet, group, until, counts):
-    await asyncio.sleep(1 + random.random())
+async def darken(fleet, until, counts):
+    """One primary at a time, those of all services in turn."""
     while fleet.record.now() < until:
-        old = group.leader
-        fleet.record.line(f"dark service={group.name} id={old.name}")
-        old.go_dark()
-        await asyncio.sleep(DARK_S)
-        old.come_back()
-        fleet.record.line(f"back service={group.name} id={old.name}")
-        await asyncio.sleep(GAP_S / 2)
-        counts["changes"] += group.leader is not old
-        group.announce(old)
-        group.catch_up()
-        await asyncio.sleep(GAP_S / 2)
+        for group in fleet.groups:
+            old = group.leader
+            fleet.record.line(f"dark service={group.name} id={old.name}")
+            old.go_dark()
+            await asyncio.sleep(DARK_S)
+            old.come_back()
+            fleet.record.line(f"back service={group.name} id={old.name}")
+            await asyncio.sleep(GAP_S)
+            counts["changes"] += group.leader is not old
+            group.announce(old)
+            group.catch_up()
 
 
 async def run(record):
@@ -70,10 +70,7 @@
         ]
         await asyncio.sleep(SETTLE_S)
         if TROUBLE:
-            for it in fleet.groups:
-                tasks.append(
-                    asyncio.ensure_future(darken(fleet, it, until - 8, counts))
-                )
+            tasks.append(asyncio.ensure_future(darken(fleet, until - 12, counts)))
         await asyncio.gather(*tasks)
     finally:
         await fleet.stop()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,13 +14,17 @@
 from standins import ClientFailure
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# For trials with one of the two: PART=deaf or PART=release.
+PART = os.environ.get("PART", "")
+DEAF = TROUBLE and PART != "release"
+RELEASE = PART != "deaf"
 SERVICES = 3
 SESSIONS = 2  # Of each service, which is a quiet one.
-LENGTH_S = 60
+LENGTH_S = 76
 SETTLE_S = 5
 DEAF_S = 4  # A replica receives nothing for so long, at most.
 DRAIN_S = 7  # A leaving server serves for so long, and a little longer.
-GAP_S = 2.5  # From a change of primary to the next one of the service.
+GAP_S = 1  # From a change of primary to the next one, of another service.
 
 
 async def session(fleet, group, number, until, counts):
@@ -50,36 +54,43 @@
     group.remove(server)
 
 
-async def release(fleet, group, until, counts):
-    """The new server starts first, the old one drains."""
-    await asyncio.sleep(random.random())
-    tasks = []
-    while fleet.record.now() < until:
-        old = group.leader
-        await group.add(fleet.new_server(group, old.zone))
-        await asyncio.sleep(1)
-        replicas = [
-            it
-            for it in group.servers.values()
-            if it is not old and it.state == "ready"
-        ]
-        deaf = random.choice(replicas)
-        if TROUBLE:
-            deaf.deaf = True
-            fleet.record.line(f"deaf service={group.name} id={deaf.name}")
+async def replace(fleet, group, counts):
+    """The new server starts first, the old one drains. Returns the task that
+    ends the old one."""
+    old = group.leader
+    await group.add(fleet.new_server(group, old.zone))
+    await asyncio.sleep(1)
+    replicas = [
+        it for it in group.servers.values() if it is not old and it.state == "ready"
+    ]
+    deaf = random.choice(replicas)
+    if DEAF:
+        deaf.deaf = True
+        fleet.record.line(f"deaf service={group.name} id={deaf.name}")
+    ended = None
+    if RELEASE:
         fleet.record.line(f"draining service={group.name} id={old.name}")
         group.announce(old, "draining")
-        tasks.append(asyncio.ensure_future(leave(group, old)))
-        for _ in range(DEAF_S * 10):
-            if group.leader is not old:
-                counts["changes"] += 1
-                break
-            await asyncio.sleep(0.1)
-        deaf.deaf = False
-        fleet.record.line(f"receives again service={group.name} id={deaf.name}")
-        group.catch_up()
-        await asyncio.sleep(GAP_S)
-    await asyncio.gather(*tasks)
+        ended = asyncio.ensure_future(leave(group, old))
+    for _ in range(DEAF_S * 10):
+        if group.leader is not old:
+            counts["changes"] += 1
+            break
+        await asyncio.sleep(0.1)
+    deaf.deaf = False
+    fleet.record.line(f"receives again service={group.name} id={deaf.name}")
+    group.catch_up()
+    return ended
+
+
+async def release(fleet, until, counts):
+    """One primary at a time, those of all services in turn."""
+    tasks = []
+    while fleet.record.now() < until:
+        for group in fleet.groups:
+            tasks.append(await replace(fleet, group, counts))
+            await asyncio.sleep(GAP_S)
+    await asyncio.gather(*(it for it in tasks if it))
 
 
 async def run(record):
@@ -96,10 +107,7 @@
             for n in range(SESSIONS)
         ]
         await asyncio.sleep(SETTLE_S)
-        for it in fleet.groups:
-            tasks.append(
-                asyncio.ensure_future(release(fleet, it, until - 10, counts))
-            )
+        tasks.append(asyncio.ensure_future(release(fleet, until - 12, counts)))
         await asyncio.gather(*tasks)
     finally:
         await fleet.stop()
@@ -107,7 +115,7 @@
     text = f"{counts}, acknowledged commits lost: {len(lost)}"
     record.line(text)
     print(text)
-    if counts["committed"] == 0 or counts["changes"] == 0:
+    if counts["committed"] == 0 or (RELEASE and counts["changes"] == 0):
         return 2
     return 1 if lost else 0
 
