Change of primary: writes are held from the comparison to the takeover

Cause: the failover leader compares the replicas' logs at one moment and the promotion takes effect a second later. Until then nothing kept the daemons from sending writes and COMMITs to the old primary, nor from passing on its successes; another replica than the chosen one acknowledged them. All lost commits that were looked at had been sent after the order.

Fix: the failover leader has the connection holders hold the writes before it compares, until the successor leads or the change is given up. The hold applies in TargetPool, which every statement and answer of a target passes: new statements, retries, leases and relayed ones. A COMMIT of an open transaction is answered ABORTED at once; a commit under way has 100 ms to be answered before the daemon confirms, then its connection is closed and its outcome unknown. So what a caller is told of was acknowledged before the comparison. A daemon that was suspended or started passes on no success until it knows the holds.

--- a/fuzz/lease_fuzz.cpp
+++ b/fuzz/lease_fuzz.cpp
@@ -1,5 +1,5 @@
 // Fuzzes the decoders of messages between daemons about leases, leader queries,
-// quotas and snapshots of stored objects.
+// held writes, quotas and snapshots of stored objects.
 
 #include "fuzz.h"
 #include "messages/lease.h"
@@ -33,6 +33,8 @@
   checkRoundTrip(bytes, messages::decodeLeaseAnswer);
   checkRoundTrip(bytes, messages::decodeLeaderQuery);
   checkRoundTrip(bytes, messages::decodeLeaderView);
+  checkRoundTrip(bytes, messages::decodeWriteHold);
+  checkRoundTrip(bytes, messages::decodeHoldList);
   checkRoundTrip(bytes, messages::decodeUseReport);
   checkRoundTrip(bytes, messages::decodeUseAnswer);
   checkRoundTrip(bytes, messages::decodeSnapshotRequest);
--- a/src/messages/lease.cpp
+++ b/src/messages/lease.cpp
@@ -125,6 +125,22 @@
   return parseEnum(in.state(), proxy::TransactionState::Failed, out.State);
 }
 
+void toProto(lease::WriteHold *out, const proxy::WriteHold &it) {
+  out->set_group(it.Group.Value);
+  out->set_leadership(it.Id.Leadership);
+  out->set_count(it.Id.Count);
+  if (!it.Target.empty())
+    out->set_target(it.Target.Value);
+  out->set_ends(it.Ends);
+}
+
+proxy::WriteHold fromProto(const lease::WriteHold &it) {
+  return {proxy::GroupName(it.group()),
+          {it.leadership(), it.count()},
+          TargetName(it.target()),
+          it.ends()};
+}
+
 } // namespace
 
 std::string encode(const BeginLease &it) {
@@ -261,4 +277,36 @@
   return LeaderView{in.known(), in.reaches()};
 }
 
+std::string encode(const proxy::WriteHold &it) {
+  lease::WriteHold out;
+  toProto(&out, it);
+  return out.SerializeAsString();
+}
+
+Result<proxy::WriteHold> decodeWriteHold(const std::string &bytes) {
+  lease::WriteHold in;
+  if (!in.ParseFromString(bytes) || in.group().empty())
+    return malformed();
+  return fromProto(in);
+}
+
+std::string encode(const proxy::HoldList &it) {
+  lease::WriteHolds out;
+  out.set_leadership(it.Leadership);
+  for (const auto &hold : it.Holds)
+    toProto(out.add_holds(), hold);
+  return out.SerializeAsString();
+}
+
+Result<proxy::HoldList> decodeHoldList(const std::string &bytes) {
+  lease::WriteHolds in;
+  if (!in.ParseFromString(bytes))
+    return malformed();
+  proxy::HoldList out;
+  out.Leadership = in.leadership();
+  for (const auto &hold : in.holds())
+    out.Holds.push_back(fromProto(hold));
+  return out;
+}
+
 } // namespace peridotfall::messages
--- a/src/messages/lease.h
+++ b/src/messages/lease.h
@@ -8,6 +8,7 @@
 #include "peridotfall/result.h"
 #include "proxy/directory.h"
 #include "proxy/lease.h"
+#include "proxy/write_hold.h"
 
 #include <string>
 
@@ -19,6 +20,9 @@
 inline constexpr auto LeaderViewPath = "/inner/v1/lead-view";
 /// A LeaderQuery that reports the group's primary as missing.
 inline constexpr auto MissingPrimaryPath = "/inner/v1/missing-primary";
+inline constexpr auto HoldWritesPath = "/inner/v1/hold-writes";
+/// A HoldList in both directions.
+inline constexpr auto HeldWritesPath = "/inner/v1/held-writes";
 
 struct BeginLease {
   proxy::LeaseRequest Request;
@@ -70,6 +74,8 @@
 std::string encode(const LeaseAnswer &it);
 std::string encode(const LeaderQuery &it);
 std::string encode(const LeaderView &it);
+std::string encode(const proxy::WriteHold &it);
+std::string encode(const proxy::HoldList &it);
 
 /// \return Invalid if the message is malformed or an enum value is unknown.
 Result<BeginLease> decodeBeginLease(const std::string &bytes);
@@ -78,6 +84,8 @@
 Result<LeaseAnswer> decodeLeaseAnswer(const std::string &bytes);
 Result<LeaderQuery> decodeLeaderQuery(const std::string &bytes);
 Result<LeaderView> decodeLeaderView(const std::string &bytes);
+Result<proxy::WriteHold> decodeWriteHold(const std::string &bytes);
+Result<proxy::HoldList> decodeHoldList(const std::string &bytes);
 
 } // namespace peridotfall::messages
 
--- a/src/proxy/failover_controller.cpp
+++ b/src/proxy/failover_controller.cpp
@@ -54,6 +54,7 @@
   if (!held && isLeader()) {
     restartSuspicions();
     NextNumber = record->First;
+    Leadership = record->First;
     telemetry::log(Event::DutyTaken, {field("first_number", record->First),
                                       field("revision", revision)});
   }
@@ -218,6 +219,7 @@
     // calls. A promotion based on the old record would undo the other's.
     noteHolderSeen();
     restartSuspicions();
+    restartSelections();
     if (isLeader())
       Port.readRecord();
   }
@@ -240,7 +242,7 @@
     if (group && !group->IsActive && !group->Targets.empty())
       tickGroup(it->first, *group, now);
     bool isOver = it->second.CurrentStep == Step::Watching &&
-                  it->second.FailedTargets.empty() &&
+                  it->second.FailedTargets.empty() && !it->second.Hold &&
                   now >= it->second.NotBefore;
     bool isDropped = !group || !Targets.isLookedAfter(*group);
     it = isOver || isDropped ? Changes.erase(it) : std::next(it);
@@ -283,6 +285,8 @@
   if (group.Targets.empty() || isIdle || !Targets.isLookedAfter(group))
     return;
   auto &change = Changes[name];
+  if (change.Hold)
+    tellHolders(group, change, now);
   if (now < change.NotBefore)
     return;
   switch (change.CurrentStep) {
@@ -292,6 +296,9 @@
   case Step::Confirming:
     confirmFailure(name, group, change, now);
     return;
+  case Step::Holding:
+    awaitHold(name, group, change, now);
+    return;
   case Step::Selecting:
     selectReplica(name, group, change, now);
     return;
@@ -300,20 +307,69 @@
         now - change.LastCall >= limits::PromotionHedgeDelay)
       sendPromotion(name, change);
     return;
-  case Step::Settling: {
-    bool leads =
-        group.View.leader() == change.Chosen && !group.LeaderMissingSince;
-    if (leads)
-      countChangePart(Metrics, ChangePart::Takeover, now - change.Since);
-    if (leads || now - change.Since >= limits::PromotionSettleTimeout)
-      change = {};
+  case Step::Settling:
+    awaitTakeover(group, change, now);
     return;
   }
+}
+
+void FailoverController::awaitTakeover(Group &group, Change &change,
+                                       TimePoint now) {
+  bool leads =
+      group.View.leader() == change.Chosen && !group.LeaderMissingSince;
+  if (leads)
+    countChangePart(Metrics, ChangePart::Takeover, now - change.Since);
+  if (leads || now - change.Since >= limits::PromotionSettleTimeout)
+    endChange(change);
+}
+
+/// The answers of a round that was interrupted by a suspension may be out of
+/// date, and so may the hold.
+void FailoverController::restartSelections() {
+  for (auto &[name, it] : Changes)
+    if (it.Hold &&
+        (it.CurrentStep == Step::Holding || it.CurrentStep == Step::Selecting))
+      it.CurrentStep = Step::Watching;
+}
+
+void FailoverController::endChange(Change &change) {
+  if (change.Hold) {
+    auto end = change.Hold->hold();
+    end.Ends = true;
+    for (const auto &vm : change.Hold->told())
+      if (vm == Self.Vm)
+        Targets.hold(end, nullptr);
+      else
+        Port.holdWrites(vm, end);
   }
+  change = {};
+}
+
+HoldList FailoverController::heldWrites() const {
+  if (!isLeader() || !Targets.knowsHolds())
+    return {};
+  HoldList out{Leadership, {}};
+  for (const auto &[name, it] : Changes)
+    if (it.Hold)
+      out.Holds.push_back(it.Hold->hold());
+  return out;
+}
+
+void FailoverController::handleHoldAnswer(const GroupName &group, HoldId hold,
+                                          const VmName &daemon,
+                                          bool confirmed) {
+  auto it = Changes.find(group);
+  if (it != Changes.end() && it->second.Hold &&
+      it->second.Hold->hold().Id == hold)
+    it->second.Hold->answered(daemon, confirmed, Time.now());
 }
 
 void FailoverController::detectFailure(const GroupName &name, Group &group,
                                        Change &change, TimePoint now) {
+  if (change.Hold && !group.LeavingSince && !group.LeaderMissingSince) {
+    endChange(change);
+    return;
+  }
   if (group.LeavingSince) {
     if (now - *group.LeavingSince >= limits::HandoverDelay) {
       change.Planned = true;
@@ -362,7 +418,7 @@
 void FailoverController::confirmFailure(const GroupName &name, Group &group,
                                         Change &change, TimePoint now) {
   if (!group.LeaderMissingSince) {
-    change = {};
+    endChange(change);
     return;
   }
   bool all = change.Reports && change.TargetList == ListState::Read;
@@ -378,7 +434,7 @@
                    {field("group", name.Value),
                     field("reach", evidence.Reachable),
                     field("answered", evidence.Answered)});
-    change = {};
+    endChange(change);
     change.NotBefore = now + limits::SuspectAfter;
     return;
   }
@@ -390,13 +446,99 @@
   auto now = Time.now();
   if (change.CurrentStep == Step::Confirming)
     countChangePart(Metrics, ChangePart::Confirmation, now - change.Since);
-  change.CurrentStep = Step::Selecting;
   change.Since = now;
+  if (group.Settings.WaitsForReplica)
+    beginHold(name, group, change);
+  else
+    queryReplicas(name, group, change);
+}
+
+void FailoverController::beginHold(const GroupName &name, Group &group,
+                                   Change &change) {
+  change.CurrentStep = Step::Holding;
+  WriteHold hold;
+  hold.Group = name;
+  hold.Id = {Leadership, ++LastHold};
+  hold.Target = group.View.leader().value_or(TargetName());
+  change.Hold.emplace(std::move(hold));
+  change.HoldersAt = {};
+  tellHolders(group, change, Time.now());
+}
+
+void FailoverController::tellHolders(Group &group, Change &change,
+                                     TimePoint now) {
+  if (now - change.HoldersAt >= limits::HoldRefresh) {
+    change.Holders = Targets.connectionHolders(group);
+    change.HoldersAt = now;
+  }
+  const auto hold = change.Hold->hold();
+  for (const auto &vm : change.Hold->due(change.Holders, now)) {
+    if (vm != Self.Vm) {
+      Port.holdWrites(vm, hold);
+      continue;
+    }
+    auto held = [this, name = hold.Group, id = hold.Id] {
+      handleHoldAnswer(name, id, Self.Vm, true);
+    };
+    if (!Targets.hold(hold, held))
+      handleHoldAnswer(hold.Group, hold.Id, Self.Vm, false);
+  }
+}
+
+/// Where a daemon doesn't answer, the change goes on without it. Writes would
+/// stop for as long as a daemon is gone.
+void FailoverController::awaitHold(const GroupName &name, Group &group,
+                                   Change &change, TimePoint now) {
+  if (endIfNeedless(group, change))
+    return;
+  auto missing = change.Hold->missing(change.Holders);
+  if (!missing.empty() && now - change.Since < limits::HoldConfirmTimeout)
+    return;
+  std::string names;
+  for (const auto &it : missing)
+    names += (names.empty() ? "" : ",") + it.Value;
+  const auto &hold = change.Hold->hold();
+  telemetry::log(
+      Event::WritesHeldForChange,
+      {field("group", name.Value),
+       field("target", hold.Target.empty() ? "all" : hold.Target.Value),
+       field("daemons", change.Holders.size()),
+       field("missing", missing.empty() ? "none" : names),
+       field("took_ms",
+             std::chrono::duration_cast<milliseconds>(now - change.Since)
+                 .count())});
+  countChangePart(Metrics, ChangePart::Hold, now - change.Since);
+  change.Since = now;
+  queryReplicas(name, group, change);
+}
+
+void FailoverController::queryReplicas(const GroupName &name, Group &group,
+                                       Change &change) {
+  change.CurrentStep = Step::Selecting;
   change.WaitReported = false;
   beginRound(change);
   queryStatus(name, group, change);
 }
 
+bool FailoverController::endIfNeedless(const Group &group, Change &change) {
+  bool primaryBack = !change.Planned && !group.LeaderMissingSince;
+  bool handoverCancelled = change.Planned && !group.LeavingSince;
+  if (!primaryBack && !handoverCancelled)
+    return false;
+  endChange(change);
+  return true;
+}
+
+std::optional<std::uint64_t>
+FailoverController::takeNumber(const GroupName &name, Change &change,
+                               TimePoint now) {
+  if (isLeader() && NextNumber <= Record->Last)
+    return NextNumber++;
+  telemetry::log(Event::TermsExhausted, {field("group", name.Value)});
+  change.NotBefore = now + limits::PromotionRetryPause;
+  return std::nullopt;
+}
+
 void FailoverController::beginRound(Change &change) {
   change.Round = ++LastRound;
   change.RoundAt = Time.now();
@@ -457,12 +599,8 @@
 void FailoverController::selectReplica(const GroupName &name, Group &group,
                                        Change &change, TimePoint now) {
   auto leader = group.View.leader();
-  bool primaryBack = !change.Planned && !group.LeaderMissingSince;
-  bool handoverCancelled = change.Planned && !group.LeavingSince;
-  if (primaryBack || handoverCancelled) {
-    change = {};
+  if (endIfNeedless(group, change))
     return;
-  }
   auto waited = now - change.Since;
   auto begun = group.Settings.WaitsForReplica ? change.RoundAt : change.Since;
   if (!change.Pending.empty() && now - begun < limits::StatusTimeout)
@@ -502,16 +640,14 @@
   case SuccessorStep::Promote:
     break;
   }
-  if (!isLeader() || NextNumber > Record->Last) {
-    telemetry::log(Event::TermsExhausted, {field("group", name.Value)});
-    change.NotBefore = now + limits::PromotionRetryPause;
+  auto number = takeNumber(name, change, now);
+  if (!number)
     return;
-  }
   Metrics.Promotions->Increment();
   Metrics.RecordsMissing->Increment(
       static_cast<double>(decision.MissingRecords));
   change.Chosen = decision.Target;
-  change.Number = NextNumber++;
+  change.Number = *number;
   telemetry::log(
       Event::PromotionDecided,
       {field("group", name.Value), field("target", decision.Target.Value),
@@ -604,12 +740,16 @@
   }
   // The number is not used again. The record is read to see whether another
   // daemon is leader by now.
-  auto failed = change.Chosen;
-  auto planned = change.Planned;
-  change = {};
-  change.FailedTargets.insert(failed);
-  change.Planned = planned;
-  change.NotBefore = now + limits::PromotionRetryPause;
+  Change next;
+  next.FailedTargets.insert(change.Chosen);
+  next.Planned = change.Planned;
+  next.NotBefore = now + limits::PromotionRetryPause;
+  if (change.Hold) {
+    next.Hold = std::move(change.Hold);
+    next.Holders = std::move(change.Holders);
+    next.HoldersAt = change.HoldersAt;
+  }
+  change = std::move(next);
   Port.readRecord();
 }
 
--- a/src/proxy/failover_controller.h
+++ b/src/proxy/failover_controller.h
@@ -25,9 +25,6 @@
 /// suspected. Network pauses and full queues delay an answer by 150 ms at most;
 /// a longer time adds to the interruption of writes.
 inline constexpr milliseconds SuspectAfter{600};
-/// After a longer gap between two ticks the process was frozen or suspended:
-/// its state is stale and suspicions start again.
-inline constexpr milliseconds MaxTickInterval{300};
 /// For the peer reports and the list of targets; slightly longer than the
 /// timeouts of the two calls.
 inline constexpr milliseconds PeerReportTimeout{400};
@@ -131,6 +128,8 @@
   virtual void readTargets() = 0;
   /// Answered by handlePeerReports.
   virtual void queryPeers(const GroupName &group) = 0;
+  /// Answered by handleHoldAnswer, unless the hold ends.
+  virtual void holdWrites(const VmName &daemon, const WriteHold &hold) = 0;
 };
 
 /// Not synchronised.
@@ -154,6 +153,11 @@
                       std::optional<std::uint64_t> number = std::nullopt);
   void handlePeerReports(const GroupName &group, const PeerReports &evidence);
   void handleTargetsRead();
+  /// \param confirmed whether the daemon holds the writes.
+  void handleHoldAnswer(const GroupName &group, HoldId hold,
+                        const VmName &daemon, bool confirmed);
+  /// \return the answer to another daemon's query.
+  HoldList heldWrites() const;
   void tick();
 
   bool isLeader() const;
@@ -168,6 +172,7 @@
   enum class Step : std::uint8_t {
     Watching,
     Confirming,
+    Holding,
     Selecting,
     Promoting,
     Settling
@@ -195,11 +200,17 @@
     unsigned Calls = 0;
     unsigned Unanswered = 0; ///< Of Calls.
     TimePoint LastCall{};
+    /// Of a group that waits for replicas, from before the first query until
+    /// the change is over.
+    std::optional<HoldRound> Hold;
+    std::vector<VmName> Holders; ///< Connection holders.
+    TimePoint HoldersAt{};       ///< When these were determined.
   };
 
   void tickLeadership(TimePoint now);
   void noteHolderSeen();
   void restartSuspicions();
+  void restartSelections();
   void handleMissingHolder(TimePoint now);
   void claimLeadership(TimePoint now);
   std::uint64_t nextFreeNumber() const;
@@ -215,7 +226,21 @@
                      TimePoint now);
   void confirmFailure(const GroupName &name, Group &group, Change &change,
                       TimePoint now);
+  /// Holds the group's writes first if its commits wait for replicas.
   void beginSelection(const GroupName &name, Group &group, Change &change);
+  void beginHold(const GroupName &name, Group &group, Change &change);
+  void tellHolders(Group &group, Change &change, TimePoint now);
+  void awaitHold(const GroupName &name, Group &group, Change &change,
+                 TimePoint now);
+  void queryReplicas(const GroupName &name, Group &group, Change &change);
+  /// \return whether the change needs no promotion and has ended.
+  bool endIfNeedless(const Group &group, Change &change);
+  void awaitTakeover(Group &group, Change &change, TimePoint now);
+  /// Ends the change and its hold.
+  void endChange(Change &change);
+  /// \return a number for a promotion; nothing if none is left.
+  std::optional<std::uint64_t> takeNumber(const GroupName &name, Change &change,
+                                          TimePoint now);
   void queryStatus(const GroupName &name, Group &group, Change &change);
   void beginRound(Change &change);
   void queryAll(const GroupName &name, Group &group, Change &change);
@@ -239,6 +264,8 @@
   bool Writing = false;
   std::uint64_t NextNumber = 0;
   std::uint64_t LastRound = 0;
+  std::uint64_t Leadership = 0; ///< First number of this daemon's leadership.
+  std::uint64_t LastHold = 0;
   std::vector<Member> Live;
   /// Of the present members, once it was computed.
   std::optional<std::optional<std::size_t>> TakeoverRank;
--- a/src/proxy/groups.cpp
+++ b/src/proxy/groups.cpp
@@ -108,7 +108,9 @@
 
 Groups::Groups(Locality self, TargetPort &port, RelayPort &relay,
                const Clock &clock)
-    : Self(std::move(self)), Port(port), Relay(relay), Time(clock) {
+    : Self(std::move(self)), Port(port), Relay(relay), Time(clock),
+      HoldsUnknownUntil(clock.now() + limits::UnknownHoldLimit),
+      LastTick(clock.now()) {
   Member here;
   here.Vm = Self.Vm;
   here.Domain = Self.Domain;
@@ -138,6 +140,7 @@
     if (OnRefused)
       OnRefused(why);
   };
+  out->holdWrites(isHeld(target));
   return out;
 }
 
@@ -249,21 +252,30 @@
 void Groups::applySettings(const std::map<GroupName, GroupSettings> &settings,
                            bool byAccount) {
   bool changed = std::exchange(ByAccount, byAccount) != byAccount;
-  HasSettings = true;
+  bool isFirst = !std::exchange(HasSettings, true);
   for (const auto &[name, it] : settings) {
     auto &group = groupOf(name);
     changed = changed || group.Settings != it;
     group.Settings = it;
+    AnyWaits = AnyWaits || it.WaitsForReplica;
     if (!std::exchange(group.IsConfigured, true))
       notePrimaryState(group, Time.now());
   }
   PlanVersion += changed;
+  if (changed || isFirst)
+    updateHeldPools();
 }
 
 void Groups::setMembers(const std::vector<Member> &live) {
   PlanVersion += Ranks.setMembers(live);
 }
 
+HolderPlan Groups::planOf(const Group &group, const TargetEntry &target) const {
+  return planHolders(
+      group.Settings.MaxConnections, target.Slots, Ranks.eligible(),
+      ByAccount ? limits::PlannedShareByAccount : limits::PlannedShare);
+}
+
 /// There may be more daemons than a target accepts connections. The daemons
 /// that rank first for a target, those of its failure domain before others,
 /// hold its connections; all others reach it through them.
@@ -272,9 +284,7 @@
   auto *group = find(target.Group);
   if (!group)
     return;
-  auto plan = planHolders(
-      group->Settings.MaxConnections, target.Slots, Ranks.eligible(),
-      ByAccount ? limits::PlannedShareByAccount : limits::PlannedShare);
+  auto plan = planOf(*group, target);
   auto holders = Ranks.first(target, plan.Holders);
   bool holds =
       std::find(holders.begin(), holders.end(), Self.Vm) != holders.end();
@@ -341,6 +351,7 @@
 
 LeaseId Groups::beginHere(const LeaseRequest &request, Batch first,
                           OnBatch done) {
+  noteSuspension();
   auto *it = access(request.Target);
   if (!it)
     return {};
@@ -348,6 +359,7 @@
 }
 
 void Groups::run(LeaseId lease, Batch next, OnBatch done) {
+  noteSuspension();
   if (Relay.owns(lease))
     Relay.run(lease, std::move(next), std::move(done));
   else if (auto *it = poolOf(lease))
@@ -405,13 +417,165 @@
   return leader;
 }
 
-std::optional<TargetName> Groups::usablePrimary(const Group &group) const {
+std::optional<TargetName> Groups::usablePrimary(const Group &group,
+                                                PrimaryUse use) const {
   auto out = writablePrimary(group);
-  return out && !unreachableSince(*out) ? out : std::nullopt;
+  if (!out || unreachableSince(*out))
+    return std::nullopt;
+  if (use == PrimaryUse::Write && isHeld(Targets.at(*out)))
+    return std::nullopt;
+  return out;
+}
+
+bool Groups::isHeld(const TargetEntry &target) const {
+  auto it = ByName.find(target.Group);
+  if (it == ByName.end())
+    return false;
+  // Without a configuration any group's commits may wait for replicas.
+  if (HasSettings && !it->second->Settings.WaitsForReplica)
+    return false;
+  return HoldsUnknownUntil || it->second->Held.covers(target.Name);
+}
+
+template <class Action> void Groups::forHeldPools(Action action) {
+  for (auto &[name, it] : Accesses)
+    if (isHeld(it.Pool->target()))
+      action(*it.Pool);
+  for (auto &it : Retired)
+    if (isHeld(it->target()))
+      action(*it);
+}
+
+void Groups::updateHeldPools() {
+  for (auto &[name, it] : Accesses)
+    it.Pool->holdWrites(isHeld(it.Pool->target()));
+  for (auto &it : Retired)
+    it->holdWrites(isHeld(it->target()));
+}
+
+bool Groups::hold(const WriteHold &hold, std::function<void()> held) {
+  auto now = Time.now();
+  auto &group = groupOf(hold.Group);
+  auto before = group.Held.current();
+  if (!group.Held.apply(hold, now))
+    return false;
+  if (before != group.Held.current())
+    telemetry::log(
+        Event::WriteHoldApplied,
+        {field("group", hold.Group.Value),
+         field("target", hold.Target.empty() ? "all" : hold.Target.Value),
+         field("ends", hold.Ends), field("leadership", hold.Id.Leadership),
+         field("count", hold.Id.Count)});
+  if (hold.Ends)
+    WithHold.erase(hold.Group);
+  else
+    WithHold.insert(hold.Group);
+  updateHeldPools();
+  if (hold.Ends)
+    return true;
+  // A silent target answers nothing that is worth a wait.
+  bool isSilent = !hold.Target.empty() && unreachableSince(hold.Target);
+  Draining draining{hold.Group, hold.Id,
+                    isSilent ? now : now + limits::WriteDrain, std::move(held)};
+  if (!tickDraining(draining, now))
+    DrainingHolds.push_back(std::move(draining));
+  return true;
+}
+
+bool Groups::tickDraining(Draining &it, TimePoint now) {
+  bool isRunning = false;
+  forHeldPools([&](const TargetPool &pool) {
+    isRunning = isRunning ||
+                (pool.target().Group == it.Group && pool.hasCommitRunning());
+  });
+  if (isRunning && now < it.Until)
+    return false;
+  if (isRunning)
+    forHeldPools([&](TargetPool &pool) {
+      if (pool.target().Group == it.Group)
+        pool.cutCommits();
+    });
+  if (it.Held)
+    it.Held();
+  return true;
+}
+
+void Groups::handleHolds(const HoldList &kept) {
+  if (kept.Leadership == 0)
+    return;
+  HoldsUnknownUntil.reset();
+  for (auto ending : holds()) {
+    bool isKept = std::any_of(
+        kept.Holds.begin(), kept.Holds.end(),
+        [&](const WriteHold &it) { return it.Group == ending.Group; });
+    // Only the leader that began a hold knows that it is over.
+    if (isKept || ending.Id.Leadership != kept.Leadership)
+      continue;
+    ending.Ends = true;
+    hold(ending, nullptr);
+  }
+  for (const auto &it : kept.Holds)
+    hold(it, nullptr);
+  updateHeldPools();
+}
+
+std::vector<WriteHold> Groups::holds() const {
+  std::vector<WriteHold> out;
+  for (const auto &name : WithHold)
+    if (const auto &it = ByName.at(name)->Held.current())
+      out.push_back(*it);
+  return out;
+}
+
+std::vector<VmName> Groups::connectionHolders(const Group &group) {
+  std::set<VmName> out;
+  for (const auto &it : group.Targets) {
+    auto first =
+        Ranks.first(it, planOf(group, it).Holders + limits::HoldMargin);
+    out.insert(first.begin(), first.end());
+  }
+  return {out.begin(), out.end()};
+}
+
+void Groups::noteSuspension() {
+  auto now = Time.now();
+  if (now - LastTick <= limits::MaxTickInterval)
+    return;
+  LastTick = now;
+  HoldsUnknownUntil = now + limits::UnknownHoldLimit;
+  updateHeldPools();
+  forHeldPools([](TargetPool &pool) { pool.cutCommits(); });
+}
+
+void Groups::tickHolds(TimePoint now) {
+  bool changed = HoldsUnknownUntil && now >= *HoldsUnknownUntil;
+  if (changed)
+    HoldsUnknownUntil.reset();
+  bool isOld = false;
+  for (auto it = WithHold.begin(); it != WithHold.end();) {
+    auto &held = ByName.at(*it)->Held;
+    bool expired = held.expire(now);
+    if (expired)
+      telemetry::log(Event::WriteHoldExpired, {field("group", it->Value)});
+    isOld = isOld || (!expired && held.age(now) >= limits::HoldQueryAge);
+    changed = changed || expired;
+    it = expired ? WithHold.erase(it) : std::next(it);
+  }
+  if (changed)
+    updateHeldPools();
+  std::erase_if(DrainingHolds,
+                [&](Draining &it) { return tickDraining(it, now); });
+  bool isWanted = AnyWaits && (HoldsUnknownUntil || isOld);
+  if (!isWanted || now < NextHoldQuery)
+    return;
+  NextHoldQuery = now + limits::HoldQueryPause;
+  if (OnHoldsUnknown)
+    OnHoldsUnknown();
 }
 
 const PrimaryAbsences &Groups::notePrimary(Group &group) const {
-  group.Absences.note(usablePrimary(group).has_value(), Time.now());
+  group.Absences.note(usablePrimary(group, PrimaryUse::Write).has_value(),
+                      Time.now());
   return group.Absences;
 }
 
@@ -520,7 +684,7 @@
 
 void Groups::checkPrimary(Group &group, milliseconds limit,
                           std::function<void(bool)> done) {
-  auto primary = usablePrimary(group);
+  auto primary = usablePrimary(group, PrimaryUse::Read);
   if (!primary) {
     done(false);
     return;
@@ -726,7 +890,10 @@
 }
 
 void Groups::tick() {
+  noteSuspension();
   auto now = Time.now();
+  LastTick = now;
+  tickHolds(now);
   for (auto &it : std::exchange(UnservedBatches, {})) {
     BatchResult failed;
     failed.Error = {ErrorKind::Busy, "the connection is gone"};
--- a/src/proxy/groups.h
+++ b/src/proxy/groups.h
@@ -14,6 +14,7 @@
 #include "proxy/holder_ranks.h"
 #include "proxy/primary_wait.h"
 #include "proxy/target_pool.h"
+#include "proxy/write_hold.h"
 
 #include <functional>
 #include <memory>
@@ -64,6 +65,9 @@
 /// work to reach their recipients.
 inline constexpr milliseconds LeavingLimit{7'000};
 inline constexpr milliseconds LeavingReserve{1'000};
+/// Daemons beyond the planned connection holders that are told of a hold.
+/// Members that came or went a moment ago shift the ranks by a few.
+inline constexpr std::size_t HoldMargin = 8;
 
 } // namespace limits
 
@@ -130,10 +134,14 @@
   /// a restart.
   std::optional<Position> HeadAtLoss;
   PrimaryAbsences Absences;
+  HeldWrites Held;
   /// When one of its targets last refused work because of load.
   std::optional<TimePoint> BusyAt;
 };
 
+/// What a primary is to be used for. Held writes don't keep reads from it.
+enum class PrimaryUse : std::uint8_t { Read, Write };
+
 /// Routes leases to the target pools and updates the state of groups from the
 /// answers that are passed to handleAnswers(). Not synchronised.
 class Groups final : public LeaseHost {
@@ -188,7 +196,22 @@
   /// \return the primary that accepts new work now; empty if writes must wait.
   std::optional<TargetName> writablePrimary(const Group &group) const;
   /// \return the primary to which a statement can be sent now.
-  std::optional<TargetName> usablePrimary(const Group &group) const;
+  std::optional<TargetName> usablePrimary(const Group &group,
+                                          PrimaryUse use) const;
+  /// Applies a hold of the failover leader to this daemon's connections.
+  /// \param held called once no commit is under way on them; it may be called
+  /// from within this function.
+  /// \return whether the hold is in force or over; if not, a later one is.
+  bool hold(const WriteHold &hold, std::function<void()> held);
+  /// Applies the failover leader's answer to a query: holds that it does not
+  /// keep any more are over.
+  void handleHolds(const HoldList &kept);
+  /// \return whether no hold can be in force that this daemon was not told of.
+  bool knowsHolds() const { return !HoldsUnknownUntil; }
+  /// \return the holds in force here.
+  std::vector<WriteHold> holds() const;
+  /// \return the daemons that may have connections to the group's targets.
+  std::vector<VmName> connectionHolders(const Group &group);
   /// Records whether the group has a usable primary.
   const PrimaryAbsences &notePrimary(Group &group) const;
   /// \return whether a target is known, reachable and not leaving.
@@ -206,6 +229,8 @@
   std::function<void(Duration)> OnWaited;
   /// Called for each lease that a queue here has refused.
   std::function<void(QueueRefusal)> OnRefused;
+  /// Called while holds are unknown or old here, every HoldQueryPause.
+  std::function<void()> OnHoldsUnknown;
   /// Called when a group's leader becomes known.
   std::function<void(const GroupName &)> OnLeaderKnown;
   /// Called when the primary of a group in use is missing, every
@@ -220,11 +245,31 @@
   template <class Action>
   void withPool(const TargetName &target, ConnectionId connection,
                 Action action) {
+    noteSuspension();
     if (auto *it = poolOf(target, connection))
       action(*it);
   }
 
 private:
+  /// A hold to be confirmed once no commit is under way.
+  struct Draining {
+    GroupName Group;
+    HoldId Id;
+    TimePoint Until;
+    std::function<void()> Held;
+  };
+
+  HolderPlan planOf(const Group &group, const TargetEntry &target) const;
+  bool isHeld(const TargetEntry &target) const;
+  /// Calls \p action on all pools whose writes are held.
+  template <class Action> void forHeldPools(Action action);
+  void updateHeldPools();
+  /// A suspended daemon may have missed a hold: no success of a write that was
+  /// under way meanwhile is passed on.
+  void noteSuspension();
+  /// \return whether the hold is confirmed.
+  bool tickDraining(Draining &it, TimePoint now);
+  void tickHolds(TimePoint now);
   std::unique_ptr<TargetPool> makePool(const TargetEntry &target);
   /// \return the access to a known target, according to the current plan.
   TargetAccess *access(const TargetName &target);
@@ -288,11 +333,18 @@
   std::uint64_t PlanVersion = 1;
   bool WatchesAll = false;
   bool HasSettings = false;    ///< A configuration is known.
+  bool AnyWaits = false;       ///< A group's commits wait for replicas.
   std::size_t NextWatched = 0; ///< Index in Active.
   /// Pools of removed targets, until their last lease has ended.
   std::vector<std::unique_ptr<TargetPool>> Retired;
   std::map<GroupName, std::unique_ptr<Group>> ByName;
   std::vector<Group *> Active;
+  std::set<GroupName> WithHold; ///< Groups with a hold in force here.
+  std::vector<Draining> DrainingHolds;
+  /// Until then a hold may be in force that this daemon was not told of.
+  std::optional<TimePoint> HoldsUnknownUntil;
+  TimePoint NextHoldQuery{};
+  TimePoint LastTick{};
 };
 
 } // namespace peridotfall::proxy
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -17,7 +17,7 @@
 constexpr std::array<const char *, QueueRefusals> QueueRefusalNames{
     "expired", "too_long", "displaced"};
 constexpr std::array<const char *, ChangeParts> ChangePartNames{
-    "notice", "evidence", "choice", "call", "lead"};
+    "notice", "evidence", "choice", "call", "lead", "hold"};
 
 /// In seconds, from a local read of a few milliseconds to the longest statement
 /// limit. A change of primary is between 0.5 and 2.5.
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -45,8 +45,9 @@
   Selection,    ///< Querying the replicas for their positions.
   Promotion,    ///< The platform's promotion call.
   Takeover,     ///< Until the new primary is known to lead.
+  Hold,         ///< Until the other daemons hold the group's writes.
 };
-inline constexpr std::size_t ChangeParts = 5;
+inline constexpr std::size_t ChangeParts = 6;
 
 enum class StoreCall : std::uint8_t { Read, Write };
 
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -189,7 +189,11 @@
 
 void Sessions::placeAtPrimary(Session &session, Group &group) {
   session.Current->Demand.reset();
-  auto leader = Targets.usablePrimary(group);
+  bool onlyReads = session.State == TransactionState::Open
+                       ? session.Open.ReadOnly
+                       : reads(session.Current->Request);
+  auto leader = Targets.usablePrimary(group, onlyReads ? PrimaryUse::Read
+                                                       : PrimaryUse::Write);
   // An unreachable primary is handled like an unknown one: the statement waits.
   if (!leader) {
     park(session);
--- a/src/proxy/target_pool.cpp
+++ b/src/proxy/target_pool.cpp
@@ -54,6 +54,28 @@
   return {};
 }
 
+bool hasWrite(const Batch &it) {
+  return std::any_of(it.Statements.begin(), it.Statements.end(), writes);
+}
+
+bool hasCommit(const Batch &it) {
+  return std::any_of(
+      it.Statements.begin(), it.Statements.end(),
+      [](const Statement &s) { return s.Kind == StatementKind::Commit; });
+}
+
+/// \return whether a success of the batch acknowledges a commit of writes.
+/// \param wrote whether its transaction has written before.
+bool commitsWrites(const Batch &it, bool wrote) {
+  return it.EndsLease && (hasWrite(it) || (wrote && hasCommit(it)));
+}
+
+BatchResult heldResult() {
+  BatchResult out;
+  out.Error = {ErrorKind::Busy, "the primary is being replaced"};
+  return out;
+}
+
 /// \return whether a lease runs only statements of the proxy itself, for which
 /// a connection of any account will do.
 bool isProbe(const Batch &first) {
@@ -99,10 +121,53 @@
 
 void TargetPool::run(LeaseId lease, Batch next, OnBatch done) {
   auto it = findLease(lease);
+  if (isHeld(it->second, next)) {
+    rollBack(it);
+    HeldBatches.push_back(std::move(done));
+    return;
+  }
   auto end = Time.now() + next.Timeout;
   start(it, lease, std::move(next), std::move(done), end);
 }
 
+bool TargetPool::isHeld(const Connection &connection, const Batch &work) const {
+  return WritesHeld &&
+         (hasWrite(work) || (connection.Wrote && hasCommit(work)));
+}
+
+void TargetPool::refuseHeld() {
+  for (auto &done : std::exchange(HeldBatches, {}))
+    done(heldResult());
+  if (!WritesHeld)
+    return;
+  for (auto lease : Waiting.order(Time.now())) {
+    // A callback may have abandoned it.
+    if (!Waiting.contains(lease) || !hasWrite(Waiting.at(lease).First))
+      continue;
+    auto waiter = Waiting.take(lease);
+    reportWait(waiter);
+    waiter.Done(heldResult());
+  }
+}
+
+bool TargetPool::hasCommitRunning() const {
+  return std::any_of(
+      Connections.begin(), Connections.end(), [](const auto &entry) {
+        const auto &it = entry.second;
+        return it.Current && commitsWrites(it.Current->Work, it.Wrote);
+      });
+}
+
+void TargetPool::cutCommits() {
+  std::vector<ConnectionId> cut;
+  for (const auto &[id, it] : Connections)
+    if (it.Current && commitsWrites(it.Current->Work, it.Wrote))
+      cut.push_back(id);
+  for (auto id : cut)
+    if (auto it = Connections.find(id); it != Connections.end())
+      dropConnection(it, "the primary is being replaced");
+}
+
 bool TargetPool::owns(LeaseId lease) const {
   return Leases.contains(lease) || Waiting.contains(lease);
 }
@@ -170,6 +235,8 @@
     if (!Waiting.contains(lease))
       continue;
     const auto &waiter = Waiting.at(lease);
+    if (WritesHeld && hasWrite(waiter.First))
+      continue;
     auto &opening = unclaimed[waiter.Account];
     if (auto it = bestIdle(waiter); it != Connections.end())
       startWaiting(it, lease);
@@ -192,6 +259,7 @@
   }
   reportWait(waiter);
   it->second.Priority = waiter.Priority;
+  it->second.Wrote = false;
   start(it, waiter.Lease, std::move(waiter.First), std::move(waiter.Done),
         waiter.AnswerDeadline);
   it->second.Current->BeginsLease = true;
@@ -325,6 +393,7 @@
                            .value_or(statement.Name);
   running.IsWorkSent = true;
   running.Sent = Time.now();
+  it->second.Wrote = it->second.Wrote || hasWrite(running.Work);
   Port.send(it->first, running.Work.Statements);
 }
 
@@ -408,9 +477,10 @@
   }
   if (running.AnswersReceived < running.Setup.size() || running.IsWorkSent)
     return;
-  bool isWrite = std::any_of(running.Work.Statements.begin(),
-                             running.Work.Statements.end(), writes);
-  bool isLate = Time.now() + minAttemptTime(isWrite) > running.AnswerDeadline;
+  bool isLate = Time.now() + minAttemptTime(hasWrite(running.Work)) >
+                running.AnswerDeadline;
+  if (isHeld(it->second, running.Work) && !running.SetupError)
+    running.SetupError = heldResult().Error;
   if (running.SetupError || it->second.Abandoned || isLate)
     finish(it);
   else
@@ -637,6 +707,7 @@
     it = expired ? Connections.erase(it) : std::next(it);
   }
   refuseExpired();
+  refuseHeld();
   assign();
 }
 
--- a/src/proxy/target_pool.h
+++ b/src/proxy/target_pool.h
@@ -113,10 +113,20 @@
   /// Aborts all leases and closes all connections, as another process now runs
   /// at the address.
   void abortAll();
+  /// While writes are held, no statement that writes and no commit of writes is
+  /// sent. A transaction that tries to is rolled back.
+  void holdWrites(bool held) { WritesHeld = held; }
+  /// \return whether a commit is under way.
+  bool hasCommitRunning() const;
+  /// Closes the connections on which a commit is under way. Its outcome is
+  /// unknown, and a late success is not passed on.
+  void cutCommits();
 
   const TargetEntry &target() const { return Target; }
   PoolStats stats() const;
-  bool isUnused() const { return Connections.empty() && Waiting.empty(); }
+  bool isUnused() const {
+    return Connections.empty() && Waiting.empty() && HeldBatches.empty();
+  }
 
 private:
   enum class Phase : std::uint8_t { Opening, Idle, Running, Held };
@@ -144,6 +154,7 @@
     LeaseId Lease;
     std::optional<Running> Current;
     bool Abandoned = false;
+    bool Wrote = false; ///< The lease has sent a statement that writes.
     TimePoint Since;
   };
   using ConnectionIt = std::map<ConnectionId, Connection>::iterator;
@@ -176,6 +187,10 @@
   void finish(ConnectionIt it);
   void recordWork(const Connection &connection, const Running &finished);
   void rollBack(ConnectionIt it);
+  /// \return whether the batch has nothing to do while writes are held.
+  bool isHeld(const Connection &connection, const Batch &work) const;
+  /// Refuses the leases and batches that must not be sent now.
+  void refuseHeld();
   /// Closes the connection and ends its batch as lost.
   void dropConnection(ConnectionIt it, const char *why);
   void logLost(const Running &running, const char *why) const;
@@ -198,6 +213,8 @@
   std::size_t Capacity = 1;
   std::size_t MaxRunning = 1;
   bool Retired = false;
+  bool WritesHeld = false;
+  std::vector<OnBatch> HeldBatches; ///< Of open leases; to be refused.
   std::map<ConnectionId, Connection> Connections;
   std::map<LeaseId, ConnectionId> Leases;
   WaitQueue Waiting;
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -1,154 +1,8 @@
-#include "fixture.h"
-#include "proxy/failover_controller.h"
-
-#include <algorithm>
+#include "failover_fixture.h"
 
 using namespace peridotfall;
 using namespace peridotfall::proxy;
 
-namespace {
-
-struct FakeCalls final : FailoverPort {
-  struct Promotion {
-    TargetName Target;
-    std::uint64_t Number = 0;
-
-    auto operator<=>(const Promotion &) const = default;
-  };
-
-  void writeRecord(const LeadershipRecord &record,
-                   std::uint64_t revision) override {
-    Written = record;
-    WrittenOver = revision;
-  }
-  void readRecord() override { ++Reads; }
-  void promote(const GroupName &, const TargetName &target,
-               std::uint64_t number) override {
-    Promotions.push_back({target, number});
-  }
-  /// \return the promotions without the repeated calls of each.
-  std::vector<Promotion> choices() const {
-    auto out = Promotions;
-    out.erase(std::unique(out.begin(), out.end()), out.end());
-    return out;
-  }
-  void readTargets() override {}
-  void queryPeers(const GroupName &) override { ++PeerQueries; }
-
-  std::optional<LeadershipRecord> Written;
-  std::uint64_t WrittenOver = 0;
-  unsigned Reads = 0;
-  unsigned PeerQueries = 0;
-  std::vector<Promotion> Promotions;
-};
-
-/// The daemon "vm" is the failover leader; the test simulates the primary "p"
-/// and the replicas.
-struct FailoverControllerFixture : ProxyFixture {
-  static constexpr std::uint64_t Incarnation = 7;
-
-  FakeCalls Calls;
-  FailoverController Failover{
-      {VmName("vm"), DomainName("press"), RegionName("tartu")},
-      Incarnation,
-      TargetGroups,
-      Calls,
-      Metrics,
-      Time};
-  bool PrimaryAnswers = true;
-  std::map<std::string, Position> Received{{"r", {InTerm, 90}},
-                                           {"s", {InTerm, 95}}};
-  std::set<std::string> Silent;
-
-  static Member member(const char *vm, std::uint64_t incarnation) {
-    Member it;
-    it.Vm = VmName(vm);
-    it.Incarnation = incarnation;
-    return it;
-  }
-  void becomeLeader(std::uint64_t first = 11) {
-    Failover.updateMembers({member("vm", Incarnation)});
-    Failover.handleRecord(
-        LeadershipRecord{VmName("vm"), Incarnation, first, first + 64}, 5);
-  }
-  /// Answers for the other daemons and the store.
-  void reportFromPeers(const PeerReports &evidence) {
-    Failover.handlePeerReports(GroupName("ledger"), evidence);
-    Failover.handleTargetsRead();
-  }
-  Answer answerOf(const std::string &target, const Statement &it) {
-    if (it.Kind == StatementKind::Status) {
-      auto out = success(it, TransactionState::Idle);
-      out.Status = target == "p"
-                       ? TargetStatus{true, InTerm, Head}
-                       : TargetStatus{false, InTerm, Received[target]};
-      return out;
-    }
-    bool leads = target == "p";
-    if (it.Kind == StatementKind::Begin && !leads)
-      return failure(ErrorKind::ReadOnly, TransactionState::Idle);
-    bool begins = it.Kind == StatementKind::Begin;
-    return success(it,
-                   begins ? TransactionState::Open : TransactionState::Idle);
-  }
-  bool answers(const std::string &target) {
-    return !Silent.contains(target) && (target != "p" || PrimaryAnswers);
-  }
-  /// Targets answer at once. Those that are silent or crashed refuse new
-  /// connections.
-  void simulateTargets() {
-    auto opening = std::exchange(Links.Opening, {});
-    for (auto id : opening) {
-      auto target = Links.Connections.at(id).Target;
-      bool up = answers(target.Value);
-      TargetGroups.withPool(target, id, [&](TargetPool &pool) {
-        if (up)
-          pool.opened(id);
-        else
-          pool.openFailed(id, std::nullopt);
-      });
-    }
-    for (const char *target : {"p", "r", "s"})
-      while (answers(target)) {
-        auto id = busyAt(target);
-        if (!id)
-          break;
-        answer(*id,
-               answerOf(target, Links.Connections.at(*id).Unanswered.front()));
-      }
-  }
-  void run(Duration span) {
-    constexpr milliseconds Step{20};
-    for (Duration done{}; done < span; done += Step) {
-      Time.advance(Step);
-      simulateTargets();
-      TargetGroups.markUsed(GroupName("ledger"));
-      TargetGroups.tick();
-      Failover.tick();
-      simulateTargets();
-    }
-  }
-  void crashPrimary() {
-    PrimaryAnswers = false;
-    std::vector<ConnectionId> open;
-    for (const auto &[id, it] : Links.Connections)
-      if (it.Open && it.Target.Value == "p")
-        open.push_back(id);
-    for (auto id : open)
-      TargetGroups.withPool(TargetName("p"), id,
-                            [&](TargetPool &pool) { pool.closed(id); });
-  }
-  /// The primary crashes and the failover leader suspects it.
-  void suspectPrimary() {
-    becomeLeader();
-    run(milliseconds(1'000));
-    crashPrimary();
-    run(milliseconds(680));
-  }
-};
-
-} // namespace
-
 // Callers cannot write while the group has no primary. The primary refuses
 // connections, no other daemon reaches it, and the replica that has received
 // most must be promoted.
@@ -541,29 +395,6 @@
   CHECK(Calls.Promotions.empty());
 }
 
-/// Commits are acknowledged once one replica has them.
-struct SynchronousGroupFixture : FailoverControllerFixture {
-  SynchronousGroupFixture() {
-    TargetGroups.applySettings({{GroupName("ledger"), {16, true}}});
-    becomeLeader();
-    run(milliseconds(1'000));
-  }
-  void setLeaving(const char *target) {
-    Entries.at(TargetName(target)).Leaving = true;
-    TargetGroups.updateTargets(Entries);
-  }
-  void removeEntry(const char *target) {
-    Entries.erase(TargetName(target));
-    TargetGroups.updateTargets(Entries);
-  }
-  /// The primary crashes, and its failure is confirmed.
-  void losePrimary() {
-    crashPrimary();
-    run(milliseconds(680));
-    reportFromPeers({8, 0});
-  }
-};
-
 // Guards against the loss of acknowledged commits: the only replica that has
 // them is leaving, and another one has received nothing.
 TEST_CASE_FIXTURE(SynchronousGroupFixture,
@@ -766,3 +597,148 @@
   REQUIRE(Calls.Written);
   CHECK(Calls.Written->Last > 11);
 }
+
+namespace {
+
+/// The daemon "b" may have connections to the targets, too.
+struct HoldingFixture : SynchronousGroupFixture {
+  const GroupName Ledger{"ledger"};
+
+  HoldingFixture() {
+    auto here = member("vm", Incarnation);
+    here.Region = RegionName("tartu");
+    auto other = member("b", 3);
+    other.Region = RegionName("tallinn");
+    TargetGroups.applySettings({{Ledger, {2, true}}});
+    TargetGroups.setMembers({here, other});
+    TargetGroups.handleHolds({1, {}});
+  }
+  void confirm(const WriteHold &hold, bool confirmed = true) {
+    Failover.handleHoldAnswer(Ledger, hold.Id, VmName("b"), confirmed);
+  }
+  const WriteHold &lastHold() {
+    REQUIRE_FALSE(Calls.Holds.empty());
+    CHECK(Calls.Holds.back().first.Value == "b");
+    return Calls.Holds.back().second;
+  }
+  std::size_t queries() const {
+    std::size_t n = 0;
+    for (const auto &[id, it] : Links.Connections)
+      n += static_cast<std::size_t>(
+          std::count_if(it.Seen.begin(), it.Seen.end(), [](const auto &s) {
+            return s.Kind == StatementKind::Status;
+          }));
+    return n;
+  }
+  /// The promotion is accepted, and the old primary is back before it takes
+  /// effect.
+  void promoteAndComeBack() {
+    losePrimary();
+    run(milliseconds(40));
+    confirm(lastHold());
+    run(milliseconds(100));
+    REQUIRE(Calls.choices().size() == 1);
+    Failover.handlePromoted(Ledger, CallOutcome::Done);
+    PrimaryAnswers = true;
+    run(milliseconds(600));
+  }
+};
+
+} // namespace
+
+// Guards against positions that are compared while a daemon still passes on
+// commits of the old primary.
+TEST_CASE_FIXTURE(HoldingFixture,
+                  "primary lost, replicas are queried once the other daemon "
+                  "holds the writes") {
+  losePrimary();
+  run(milliseconds(200));
+  CHECK(lastHold().Target.Value == "p");
+  CHECK(queries() == 0);
+  confirm(lastHold(), false);
+  run(milliseconds(140));
+  CHECK(queries() == 0);
+  confirm(lastHold());
+  run(milliseconds(60));
+  CHECK(queries() >= 2);
+  CHECK(Calls.choices().size() == 1);
+}
+
+// Guards against a group without a primary for as long as a daemon is gone.
+TEST_CASE_FIXTURE(HoldingFixture,
+                  "other daemon does not answer, the change goes on after a "
+                  "limited wait") {
+  losePrimary();
+  run(proxy::limits::HoldConfirmTimeout - milliseconds(40));
+  CHECK(Calls.Promotions.empty());
+  run(milliseconds(140));
+  CHECK(Calls.choices().size() == 1);
+}
+
+TEST_CASE_FIXTURE(HoldingFixture,
+                  "primary back before a promotion, the hold ends") {
+  losePrimary();
+  run(milliseconds(100));
+  auto hold = lastHold();
+  PrimaryAnswers = true;
+  run(milliseconds(600));
+  CHECK(Calls.Promotions.empty());
+  CHECK(lastHold().Ends);
+  CHECK(lastHold().Id == hold.Id);
+  CHECK(TargetGroups.holds().empty());
+}
+
+// Guards against commits at the old primary between the promotion and the
+// moment when it takes effect.
+TEST_CASE_FIXTURE(HoldingFixture,
+                  "primary back after a promotion, its writes stay held until "
+                  "the successor leads") {
+  promoteAndComeBack();
+  auto *group = TargetGroups.find(Ledger);
+  CHECK(TargetGroups.usablePrimary(*group, PrimaryUse::Read));
+  CHECK_FALSE(TargetGroups.usablePrimary(*group, PrimaryUse::Write));
+  CHECK_FALSE(lastHold().Ends);
+  Entries.at(TargetName("s")).ClaimsPrimary = true;
+  Entries.at(TargetName("s")).Revision = 20;
+  TargetGroups.updateTargets(Entries);
+  run(milliseconds(40));
+  CHECK(lastHold().Ends);
+  CHECK(TargetGroups.usablePrimary(*group, PrimaryUse::Write)->Value == "s");
+}
+
+TEST_CASE_FIXTURE(HoldingFixture,
+                  "daemon asks for holds, only the failover leader knows "
+                  "them") {
+  losePrimary();
+  run(milliseconds(40));
+  auto kept = Failover.heldWrites();
+  CHECK(kept.Leadership == 11);
+  REQUIRE(kept.Holds.size() == 1);
+  CHECK(kept.Holds[0] == lastHold());
+  Failover.handleRecord(LeadershipRecord{VmName("b"), 3, 90, 154}, 6);
+  CHECK(Failover.heldWrites().Leadership == 0);
+}
+
+// Guards against positions that a leader compares after a suspension in which
+// its hold has expired.
+TEST_CASE_FIXTURE(HoldingFixture,
+                  "leader suspended while it queries, writes are held again "
+                  "and replicas queried anew") {
+  Silent = {"s"};
+  losePrimary();
+  run(milliseconds(40));
+  auto first = lastHold();
+  confirm(first);
+  run(milliseconds(200));
+  Time.advance(std::chrono::seconds(9));
+  Silent.clear();
+  for (unsigned n = 0; n < 80 && lastHold().Id == first.Id; ++n) {
+    run(milliseconds(20));
+    reportFromPeers({8, 0});
+  }
+  CHECK(lastHold().Id > first.Id);
+  CHECK(Calls.Promotions.empty());
+  confirm(lastHold());
+  run(milliseconds(200));
+  CHECK(Calls.choices().size() == 1);
+}
--- a/tests/proxy/fleet_groups_test.cpp
+++ b/tests/proxy/fleet_groups_test.cpp
@@ -268,6 +268,7 @@
 
   void writeRecord(const LeadershipRecord &, std::uint64_t) override {}
   void readRecord() override {}
+  void holdWrites(const VmName &, const WriteHold &) override {}
   void promote(const GroupName &group, const TargetName &,
                std::uint64_t) override {
     Promoted.insert(group);
--- a/tests/proxy/lease_message_test.cpp
+++ b/tests/proxy/lease_message_test.cpp
@@ -61,3 +61,16 @@
     CHECK((left > Duration{}) == (span > Duration{}));
   }
 }
+
+TEST_CASE("hold messages, arbitrary bytes in names, survive a round trip") {
+  WriteHold hold{GroupName("led\xffger"), {7, 3}, TargetName("p\xfe"), true};
+  auto read = messages::decodeWriteHold(messages::encode(hold));
+  REQUIRE(read);
+  CHECK(read.value() == hold);
+  WriteHold all{GroupName("other"), {7, 4}, {}, false};
+  HoldList list{7, {hold, all}};
+  auto back = messages::decodeHoldList(messages::encode(list));
+  REQUIRE(back);
+  CHECK(back.value() == list);
+  CHECK_FALSE(messages::decodeWriteHold({}));
+}
