Change of primary: it ends with an order that was answered

Callers could lose acknowledged commits (LOST) of services with sync_replicas 1 when a promotion call had no answer: the primary comes back, the change is given up, writes go on, and the platform carries the call out seconds later. The same where an accepted promotion has no effect in time, and where the failover leader ends after its order.

Cause: a change ended with its decision, not with its last order. The number of an order is checked when it is carried out, so only a later order voids it, and none followed.

Fix: a change with an open order keeps the writes of all targets held, and ends with an order that has an answer, of the present primary if it is back. That one changes nothing but the number below which orders are refused. The next failover leader takes the holds of an earlier one over.

--- a/src/proxy/failover_controller.cpp
+++ b/src/proxy/failover_controller.cpp
@@ -233,6 +233,8 @@
 void FailoverController::tickGroups(TimePoint now) {
   Unplanned = unplannedChanges();
   SuspectedNow = 0;
+  if (Targets.knowsHolds())
+    adoptHolds(Targets.holds());
   // Queries may make further groups active.
   auto active = Targets.active();
   for (auto *it : active)
@@ -243,7 +245,7 @@
       tickGroup(it->first, *group, now);
     bool isOver = it->second.CurrentStep == Step::Watching &&
                   it->second.FailedTargets.empty() && !it->second.Hold &&
-                  now >= it->second.NotBefore;
+                  !it->second.HasOpenOrder && now >= it->second.NotBefore;
     bool isDropped = !group || !Targets.isLookedAfter(*group);
     it = isOver || isDropped ? Changes.erase(it) : std::next(it);
   }
@@ -308,19 +310,35 @@
       sendPromotion(name, change);
     return;
   case Step::Settling:
-    awaitTakeover(group, change, now);
+    awaitTakeover(name, group, change, now);
     return;
   }
 }
 
-void FailoverController::awaitTakeover(Group &group, Change &change,
-                                       TimePoint now) {
-  bool leads =
-      group.View.leader() == change.Chosen && !group.LeaderMissingSince;
-  if (leads)
+void FailoverController::awaitTakeover(const GroupName &name, Group &group,
+                                       Change &change, TimePoint now) {
+  bool present = group.View.leader() && !group.LeaderMissingSince;
+  bool leads = present && group.View.leader() == change.Chosen;
+  bool isOver = now - change.Since >= limits::PromotionSettleTimeout;
+  // An order before the one that keeps the primary may have been accepted.
+  if (change.KeepsPrimary && !isOver)
+    return;
+  if (leads && !change.KeepsPrimary)
     countChangePart(Metrics, ChangePart::Takeover, now - change.Since);
-  if (leads || now - change.Since >= limits::PromotionSettleTimeout)
+  if (!leads && !isOver)
+    return;
+  bool kept = std::exchange(change.KeepsPrimary, false);
+  if (leads || !change.Hold || (kept && present)) {
     endChange(change);
+    return;
+  }
+  // The writes stay held: the promotion may still take effect.
+  change.HasOpenOrder = !kept;
+  change.CurrentStep = Step::Watching;
+  telemetry::log(Event::PromotionWithoutEffect,
+                 {field("group", name.Value),
+                  field("target", change.Chosen.Value),
+                  field("number", change.Number)});
 }
 
 /// The answers of a round that was interrupted by a suspension may be out of
@@ -345,9 +363,27 @@
   change = {};
 }
 
-HoldList FailoverController::heldWrites() const {
+void FailoverController::adoptHolds(const std::vector<WriteHold> &holds) {
+  for (const auto &it : holds) {
+    auto *group = Targets.find(it.Group);
+    if (it.Id.Leadership >= Leadership || Changes.contains(it.Group) ||
+        !group || group->Targets.empty() || !group->Settings.WaitsForReplica ||
+        !Targets.isLookedAfter(*group))
+      continue;
+    // Another target leads by now, so the order has been carried out.
+    const auto &leader = group->View.leader();
+    if (!it.Target.empty() && leader && leader != it.Target)
+      continue;
+    Changes[it.Group].HasOpenOrder = true;
+    telemetry::log(Event::HoldAdopted, {field("group", it.Group.Value),
+                                        field("leadership", it.Id.Leadership)});
+  }
+}
+
+HoldList FailoverController::handleHoldQuery(const HoldList &theirs) {
   if (!isLeader() || !Targets.knowsHolds())
     return {};
+  adoptHolds(theirs.Holds);
   HoldList out{Leadership, {}};
   for (const auto &[name, it] : Changes)
     if (it.Hold)
@@ -366,6 +402,13 @@
 
 void FailoverController::detectFailure(const GroupName &name, Group &group,
                                        Change &change, TimePoint now) {
+  // Until the platform rejects it, an open order can put a replica in the place
+  // of a primary that goes on.
+  if (change.HasOpenOrder) {
+    change.Planned = group.LeavingSince.has_value();
+    beginSelection(name, group, change);
+    return;
+  }
   if (change.Hold && !group.LeavingSince && !group.LeaderMissingSince) {
     endChange(change);
     return;
@@ -459,7 +502,10 @@
   WriteHold hold;
   hold.Group = name;
   hold.Id = {Leadership, ++LastHold};
-  hold.Target = group.View.leader().value_or(TargetName());
+  // After an open order another target may lead at any time, and lose its lead
+  // to the next order.
+  if (!change.HasOpenOrder)
+    hold.Target = group.View.leader().value_or(TargetName());
   change.Hold.emplace(std::move(hold));
   change.HoldersAt = {};
   tellHolders(group, change, Time.now());
@@ -489,7 +535,7 @@
 /// stop for as long as a daemon is gone.
 void FailoverController::awaitHold(const GroupName &name, Group &group,
                                    Change &change, TimePoint now) {
-  if (endIfNeedless(group, change))
+  if (endIfNeedless(name, group, change, now))
     return;
   auto missing = change.Hold->missing(change.Holders);
   if (!missing.empty() && now - change.Since < limits::HoldConfirmTimeout)
@@ -520,12 +566,42 @@
   queryStatus(name, group, change);
 }
 
-bool FailoverController::endIfNeedless(const Group &group, Change &change) {
+bool FailoverController::endIfNeedless(const GroupName &name, Group &group,
+                                       Change &change, TimePoint now) {
   bool primaryBack = !change.Planned && !group.LeaderMissingSince;
   bool handoverCancelled = change.Planned && !group.LeavingSince;
   if (!primaryBack && !handoverCancelled)
     return false;
-  endChange(change);
+  if (!change.HasOpenOrder) {
+    endChange(change);
+    return true;
+  }
+  if (change.CurrentStep == Step::Holding)
+    return false;
+  auto leader = group.View.leader();
+  if (!leader || group.LeaderMissingSince) {
+    change.Planned = false;
+    return false;
+  }
+  if (!change.PrimaryAt) {
+    // It may have lost its lead already, which the list does not tell yet.
+    if (change.Pending.empty() ||
+        now - change.RoundAt >= limits::StatusTimeout) {
+      queryAll(name, group, change);
+      change.NotBefore = now + limits::StatusRoundPause;
+    }
+    return true;
+  }
+  auto number = takeNumber(name, change, now);
+  if (!number)
+    return true;
+  change.Chosen = *leader;
+  change.Number = *number;
+  change.KeepsPrimary = true;
+  telemetry::log(Event::PrimaryKept,
+                 {field("group", name.Value), field("target", leader->Value),
+                  field("number", change.Number)});
+  beginPromotion(name, change);
   return true;
 }
 
@@ -560,7 +636,8 @@
 void FailoverController::queryStatus(const GroupName &name, Group &group,
                                      Change &change) {
   for (const auto &it : group.Targets) {
-    bool isOldPrimary = change.Planned && it.Name == group.View.leader();
+    bool isOldPrimary = (change.Planned || change.HasOpenOrder) &&
+                        it.Name == group.View.leader();
     bool isWanted =
         isOldPrimary
             ? !change.PrimaryAt
@@ -599,7 +676,7 @@
 void FailoverController::selectReplica(const GroupName &name, Group &group,
                                        Change &change, TimePoint now) {
   auto leader = group.View.leader();
-  if (endIfNeedless(group, change))
+  if (endIfNeedless(name, group, change, now))
     return;
   auto waited = now - change.Since;
   auto begun = group.Settings.WaitsForReplica ? change.RoundAt : change.Since;
@@ -740,6 +817,7 @@
   }
   // The number is not used again. The record is read to see whether another
   // daemon is leader by now.
+  bool isOpen = outcome == CallOutcome::Unknown || change.Unanswered > 0;
   Change next;
   next.FailedTargets.insert(change.Chosen);
   next.Planned = change.Planned;
@@ -748,6 +826,7 @@
     next.Hold = std::move(change.Hold);
     next.Holders = std::move(change.Holders);
     next.HoldersAt = change.HoldersAt;
+    next.HasOpenOrder = change.HasOpenOrder || isOpen;
   }
   change = std::move(next);
   Port.readRecord();
--- a/src/proxy/failover_controller.h
+++ b/src/proxy/failover_controller.h
@@ -156,8 +156,10 @@
   /// \param confirmed whether the daemon holds the writes.
   void handleHoldAnswer(const GroupName &group, HoldId hold,
                         const VmName &daemon, bool confirmed);
-  /// \return the answer to another daemon's query.
-  HoldList heldWrites() const;
+  /// Answers another daemon's query.
+  /// \param theirs the holds in force there. Those of an earlier leader are
+  /// taken over: a promotion that it has ordered may still be carried out.
+  HoldList handleHoldQuery(const HoldList &theirs);
   void tick();
 
   bool isLeader() const;
@@ -205,6 +207,12 @@
     std::optional<HoldRound> Hold;
     std::vector<VmName> Holders; ///< Connection holders.
     TimePoint HoldersAt{};       ///< When these were determined.
+    /// A promotion without an answer, or one that was accepted and has had no
+    /// effect yet, may be carried out at any time.
+    bool HasOpenOrder = false;
+    /// The present primary was ordered again, which makes the platform reject
+    /// all earlier orders.
+    bool KeepsPrimary = false;
   };
 
   void tickLeadership(TimePoint now);
@@ -233,11 +241,16 @@
   void awaitHold(const GroupName &name, Group &group, Change &change,
                  TimePoint now);
   void queryReplicas(const GroupName &name, Group &group, Change &change);
-  /// \return whether the change needs no promotion and has ended.
-  bool endIfNeedless(const Group &group, Change &change);
-  void awaitTakeover(Group &group, Change &change, TimePoint now);
+  /// \return whether a change that needs no promotion has ended, or goes on by
+  /// ordering the present primary.
+  bool endIfNeedless(const GroupName &name, Group &group, Change &change,
+                     TimePoint now);
+  void awaitTakeover(const GroupName &name, Group &group, Change &change,
+                     TimePoint now);
   /// Ends the change and its hold.
   void endChange(Change &change);
+  /// Takes over the holds of an earlier failover leader.
+  void adoptHolds(const std::vector<WriteHold> &holds);
   /// \return a number for a promotion; nothing if none is left.
   std::optional<std::uint64_t> takeNumber(const GroupName &name, Change &change,
                                           TimePoint now);
--- a/src/proxy/hold_calls.cpp
+++ b/src/proxy/hold_calls.cpp
@@ -60,7 +60,9 @@
     return false;
   auto theirs = messages::decodeHoldList(request.Body);
   if (theirs)
-    respond({StatusOk, {}, messages::encode(Failover.heldWrites())});
+    respond({StatusOk,
+             {},
+             messages::encode(Failover.handleHoldQuery(theirs.value()))});
   else
     respond({StatusBadRequest, {}, theirs.error().Message});
   return true;
--- a/tests/proxy/failover_controller_test.cpp
+++ b/tests/proxy/failover_controller_test.cpp
@@ -706,17 +706,69 @@
   CHECK(TargetGroups.usablePrimary(*group, PrimaryUse::Write)->Value == "s");
 }
 
+// Guards against a promotion that takes effect after the writes go on.
+TEST_CASE_FIXTURE(HoldingFixture,
+                  "accepted promotion has no effect, writes go on once the "
+                  "primary was ordered again") {
+  promoteAndComeBack();
+  run(proxy::limits::PromotionSettleTimeout);
+  CHECK(lastHold().Target.empty());
+  CHECK_FALSE(lastHold().Ends);
+  confirm(lastHold());
+  run(milliseconds(200));
+  REQUIRE(Calls.choices().size() == 2);
+  CHECK(Calls.choices()[1] == FakeCalls::Promotion{TargetName("p"), 12});
+  Failover.handlePromoted(Ledger, CallOutcome::Done, 12);
+  run(milliseconds(1'000));
+  CHECK_FALSE(lastHold().Ends);
+  run(proxy::limits::PromotionSettleTimeout);
+  CHECK(lastHold().Ends);
+  CHECK(TargetGroups.holds().empty());
+}
+
+// Guards against an order of a leader that has ended, which takes effect after
+// the writes go on.
+TEST_CASE_FIXTURE(HoldingFixture,
+                  "earlier leader's hold known, the primary is ordered with a "
+                  "new number") {
+  bool isLocal = false;
+  SUBCASE("by this daemon") { isLocal = true; }
+  SUBCASE("by another daemon's query") {}
+  WriteHold hold{Ledger, {2, 9}, TargetName("p"), false};
+  if (isLocal)
+    TargetGroups.hold(hold, nullptr);
+  else
+    CHECK(Failover.handleHoldQuery({0, {hold}}).Leadership == 11);
+  run(milliseconds(60));
+  CHECK(lastHold().Target.empty());
+  CHECK(lastHold().Id > hold.Id);
+  confirm(lastHold());
+  run(milliseconds(100));
+  REQUIRE(Calls.choices().size() == 1);
+  CHECK(Calls.choices()[0] == FakeCalls::Promotion{TargetName("p"), 11});
+}
+
+TEST_CASE_FIXTURE(HoldingFixture,
+                  "earlier leader's hold of a target that leads no more, no "
+                  "order follows") {
+  WriteHold hold{Ledger, {2, 9}, TargetName("r"), false};
+  CHECK(Failover.handleHoldQuery({0, {hold}}).Holds.empty());
+  run(milliseconds(400));
+  CHECK(Calls.Holds.empty());
+  CHECK(Calls.Promotions.empty());
+}
+
 TEST_CASE_FIXTURE(HoldingFixture,
                   "daemon asks for holds, only the failover leader knows "
                   "them") {
   losePrimary();
   run(milliseconds(40));
-  auto kept = Failover.heldWrites();
+  auto kept = Failover.handleHoldQuery({});
   CHECK(kept.Leadership == 11);
   REQUIRE(kept.Holds.size() == 1);
   CHECK(kept.Holds[0] == lastHold());
   Failover.handleRecord(LeadershipRecord{VmName("b"), 3, 90, 154}, 6);
-  CHECK(Failover.heldWrites().Leadership == 0);
+  CHECK(Failover.handleHoldQuery({}).Leadership == 0);
 }
 
 // Guards against positions that a leader compares after a suspension in which
--- a/tests/proxy/writes_during_change_test.cpp
+++ b/tests/proxy/writes_during_change_test.cpp
@@ -272,3 +272,33 @@
   }
   CHECK(sum.Committed > 0);
 }
+
+// Guards against the loss of commits to an order without an answer, which the
+// platform carries out after the primary is back.
+TEST_CASE("promotion without an answer carried out late, commits at any time, "
+          "none of those acknowledged is lost") {
+  LoadOutcome sum;
+  for (auto late : {milliseconds(100), milliseconds(700), milliseconds(1'500),
+                    milliseconds(3'000), milliseconds(5'000)})
+    for (Duration at{}; at < milliseconds(6'000); at += 10 * Step) {
+      CAPTURE(late.count());
+      CAPTURE(std::chrono::duration_cast<milliseconds>(at).count());
+      WritesDuringChangeFixture it;
+      it.LostAnswers = 2;
+      it.LateBy = late;
+      auto load = Load::prepare(it);
+      it.darken();
+      for (Duration done{}; done < milliseconds(10'000); done += Step) {
+        if (done == at)
+          load.send(it);
+        if (!it.PrimaryAnswers && !it.Calls.Promotions.empty())
+          it.comeBack();
+        it.advance(Step);
+      }
+      auto out = outcomeOf(it);
+      CHECK(out.Lost == 0);
+      CHECK(it.TargetGroups.holds().empty());
+      sum.Committed += out.Committed;
+    }
+  CHECK(sum.Committed > 0);
+}
