Stop: sessions are closed between two statements, all received are answered

Cause: a stopping daemon closed a session only if its tick found it without a statement. One that sends the next statement at once is hardly ever found so, and the end of the process did not look at what was running.

Fix: the check is made where a statement ends. A session that is due runs what it had received by then and is closed with the last answer; what came later is refused as not run. Statements get no more time than is left of the stop; those that still run at its end are answered.

--- a/src/proxy/sessions.cpp
+++ b/src/proxy/sessions.cpp
@@ -169,6 +169,16 @@
       endForRemovedKey(*it);
       return;
     }
+    if (isStopDue(*it)) {
+      // A caller that sends without a pause would keep the session open.
+      if (!it->LeftBeforeStop)
+        it->LeftBeforeStop = it->Inbox.size();
+      if (*it->LeftBeforeStop == 0) {
+        closeForStop(*it);
+        return;
+      }
+      --*it->LeftBeforeStop;
+    }
     if (it->Inbox.empty())
       return;
     auto next = std::move(it->Inbox.front());
@@ -482,27 +492,64 @@
     session.Open.Lease = {};
     session.Open.ConnectionLost = true;
   }
-  if (!StoppingSince)
+  if (!isStopDue(session))
     return;
-  bool isIdle = !open && now - *StoppingSince >= limits::IdleSessionStopDelay;
-  bool over = now >= TransactionStopDeadline;
-  if (isIdle || over) {
-    auto id = session.Id;
-    closed(id);
-    Port.close(id);
+  if (session.HandshakeDone)
+    advance(session);
+  else
+    closeForStop(session);
+}
+
+bool Sessions::isStopDue(const Session &session) const {
+  if (!StoppingSince)
+    return false;
+  bool open = session.State != TransactionState::Idle;
+  return Time.now() >= (open ? TransactionStopDeadline
+                             : *StoppingSince + limits::IdleSessionStopDelay);
+}
+
+void Sessions::closeForStop(Session &session) {
+  auto id = session.Id;
+  bool open = session.State != TransactionState::Idle;
+  auto unserved = std::exchange(session.Inbox, {});
+  closed(id);
+  for (std::size_t n = 0; n < unserved.size(); ++n) {
+    Answer answer;
+    answer.Error = StatementError{open ? ErrorKind::Aborted : ErrorKind::Busy,
+                                  "the daemon is stopping; retry-after-ms=0"};
+    Port.answer(id, answer);
   }
+  Port.close(id);
+}
+
+void Sessions::endForStop(Session &session) {
+  auto &run = *session.Current;
+  bool isCommit = run.Request.Kind == StatementKind::Commit;
+  bool commitsWrites =
+      isCommit ? session.Open.Wrote
+               : session.State == TransactionState::Idle && writes(run.Request);
+  bool maybeSent = isCommit ? !run.RunAt : run.InFlight;
+  if (commitsWrites && maybeSent)
+    answerUnknownOutcome(session, "the daemon is stopping");
+  else
+    refuse(session, milliseconds{}, "the daemon is stopping");
 }
 
 void Sessions::tick() {
   auto now = Time.now();
+  bool isStopOver = StoppingSince && now >= StopDeadline;
   std::vector<CallerId> ids;
   ids.reserve(All.size());
   for (const auto &[id, it] : All)
     if (it.Current || it.State != TransactionState::Idle || StoppingSince)
       ids.push_back(id);
-  for (auto id : ids)
-    if (auto *it = find(id))
+  for (auto id : ids) {
+    auto *it = find(id);
+    if (it && it->Current && isStopOver)
+      endForStop(*it);
+    else if (it)
       tickSession(*it, now);
+  }
 }
 
 void Sessions::stop(Duration limit) {
@@ -512,8 +559,4 @@
   StopDeadline = now + limit - limits::LastAnswersReserve;
 }
 
-bool Sessions::isStopped() const {
-  return StoppingSince && (All.empty() || Time.now() >= StopDeadline);
-}
-
 } // namespace peridotfall::proxy
--- a/src/proxy/sessions.h
+++ b/src/proxy/sessions.h
@@ -95,12 +95,13 @@
   void tick();
   /// Runs the statements that wait for the group's primary.
   void resume(const GroupName &group);
-  /// Closes sessions once they are idle, and all of them within \p limit. Open
-  /// transactions have half of it to finish.
+  /// Closes sessions once they are idle or between two statements, and all of
+  /// them within \p limit. Open transactions have half of it to finish. Each
+  /// statement that was received is answered.
   void stop(Duration limit);
   bool isStopping() const { return StoppingSince.has_value(); }
-  /// \return whether all sessions are closed or the limit has expired.
-  bool isStopped() const;
+  /// \return whether the daemon is stopping and all sessions are closed.
+  bool isStopped() const { return StoppingSince && All.empty(); }
 
   std::size_t open() const { return All.size(); }
 
@@ -171,6 +172,8 @@
     std::deque<Statement> Inbox;
     std::optional<StatementRun> Current;
     TimePoint LastActive;
+    /// Statements that still run before the session is closed for a stop.
+    std::optional<std::size_t> LeftBeforeStop;
   };
 
   Session *find(CallerId caller);
@@ -279,6 +282,13 @@
   /// \return the time since the store last confirmed the routes.
   milliseconds routesAge() const;
   void tickSession(Session &session, TimePoint now);
+  /// \return whether a session without a running statement is to be closed for
+  /// a stop.
+  bool isStopDue(const Session &session) const;
+  /// Refuses what the session has not begun, and closes it.
+  void closeForStop(Session &session);
+  /// Answers a statement that is still running at the end of a stop.
+  void endForStop(Session &session);
 
   Groups &Targets;
   CallerPort &Port;
--- a/src/proxy/statement_runs.cpp
+++ b/src/proxy/statement_runs.cpp
@@ -106,6 +106,8 @@
   run.Account = session.Account;
   run.StartedAt = now;
   run.Deadline = now + run.AssignedRoute.StatementLimit;
+  if (StoppingSince)
+    run.Deadline = std::min(run.Deadline, StopDeadline);
   run.PrimaryOnly = run.AssignedRoute.Reads == Guarantee::Primary ||
                     writes(it) || (inTransaction && !session.Open.ReadOnly);
   run.Request = std::move(it);
