--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -262,6 +262,11 @@
          it->second.contains(lease.Lease);
 }
 
+bool RelayServer::hasLeases() const {
+  return std::any_of(Leases.begin(), Leases.end(),
+                     [](const auto &it) { return !it.second.empty(); });
+}
+
 void RelayServer::closed(ConnectionHandle connection) {
   auto it = Leases.find(connection);
   if (it == Leases.end())
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -119,6 +119,8 @@
   bool handle(const http::Request &request, const http::Respond &respond);
   /// Abandons the leases of a connection that has closed.
   void closed(ConnectionHandle connection);
+  /// \return whether another daemon's lease is open.
+  bool hasLeases() const;
 
 private:
   void begin(const http::Request &request, const http::Respond &respond);
--- a/tests/adapter/line_stream_test.cpp
+++ b/tests/adapter/line_stream_test.cpp
@@ -96,3 +96,48 @@
   runUntil([&] { return Lines.size() == 1; });
   CHECK_FALSE(Stream->isUnfinished());
 }
+
+// Guards against a reset that overtakes the last bytes: the peer sends on while
+// it reads a long answer.
+TEST_CASE_FIXTURE(StreamFixture,
+                  "finished stream, peer sends on while it reads, it gets all "
+                  "bytes") {
+  constexpr std::size_t Size = 3 << 20;
+  Peer.set_option(asio::socket_base::receive_buffer_size(32 << 10));
+  Stream->write(std::string(Size, 'x'));
+  Stream->finish();
+  std::size_t got = 0;
+  std::thread reader([&] {
+    std::string part(64 << 10, ' ');
+    std::error_code ec;
+    while (got < Size && !ec) {
+      asio::write(Peer, asio::buffer("QUERY a READ x\r\n", 16), ec);
+      ec.clear();
+      got += Peer.read_some(asio::buffer(part), ec);
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    Peer.close(ec);
+  });
+  Loop.run();
+  reader.join();
+  CHECK(got == Size);
+  CHECK(Stream->isClosed());
+}
+
+TEST_CASE_FIXTURE(StreamFixture,
+                  "finished stream, is closed once the peer has all bytes") {
+  constexpr std::size_t Size = 3 << 20;
+  Peer.set_option(asio::socket_base::receive_buffer_size(32 << 10));
+  Stream->write(std::string(Size, 'x'));
+  Stream->finish();
+  Loop.poll();
+  CHECK_FALSE(Stream->isClosed());
+  std::thread reader([&] {
+    std::string got(Size, ' ');
+    std::error_code ec;
+    asio::read(Peer, asio::buffer(got), ec);
+  });
+  while (!Stream->isClosed())
+    Loop.poll();
+  reader.join();
+}
--- a/tests/proxy/relay_server_test.cpp
+++ b/tests/proxy/relay_server_test.cpp
@@ -71,3 +71,12 @@
   run(Lease);
   CHECK(isTargetBusy());
 }
+
+// Guards against a daemon that stops while it runs a statement for another one.
+TEST_CASE_FIXTURE(RelayServerFixture,
+                  "lease of another daemon, is open until it ends") {
+  CHECK(Server.hasLeases());
+  messages::AbandonLease message{Lease};
+  send(messages::AbandonLeasePath, messages::encode(message));
+  CHECK_FALSE(Server.hasLeases());
+}
