--- a/tests/proxy/held_writes_test.cpp
+++ b/tests/proxy/held_writes_test.cpp
@@ -231,3 +231,15 @@
   CHECK(result->Error.Kind == ErrorKind::Busy);
   CHECK_FALSE(result->TargetUnreachable);
 }
+
+// Guards against a daemon with an older configuration, which confirms a hold.
+TEST_CASE_FIXTURE(HeldWritesFixture,
+                  "hold of a group that does not wait for replicas by this "
+                  "daemon's configuration, its writes are held") {
+  TargetGroups.applySettings({{GroupName("ledger"), {16, false}}});
+  hold();
+  auto caller = write();
+  pass(milliseconds(40));
+  CHECK(sent(StatementKind::Write) == 0);
+  CHECK_FALSE(isAnswered(caller));
+}
